--- /dev/null
+++ b/packages/base/log.cpp
@@ -0,0 +1,163 @@
+#include "base/log.hpp"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/lockfree/queue.hpp>
+
+namespace waxwingvalve::base
+{
+namespace
+{
+
+constexpr std::size_t ring_lines = 8192;
+// The writer sleeps this long when the ring is empty: long enough to cost
+// nothing, short enough that an operator who tails the log sees no lag.
+constexpr std::chrono::milliseconds idle_wait{5};
+
+struct log_state
+{
+    boost::lockfree::queue<std::string*> ring{ring_lines};
+    std::atomic<bool> writer_lives{false};
+    std::atomic<bool> stop{false};
+    std::atomic<log_level> level{log_level::info};
+    std::atomic<std::uint64_t> dropped{0};
+    std::thread thread;
+};
+
+log_state& state()
+{
+    static log_state instance;
+    return instance;
+}
+
+std::string_view name(log_level level)
+{
+    constexpr std::array names{"debug", "info", "warning", "error"};
+    return names.at(static_cast<std::size_t>(level));
+}
+
+std::string_view name(log_channel channel)
+{
+    constexpr std::array names{
+        "daemon",
+        "routing",
+        "serving",
+        "filings",
+        "records",
+        "membership",
+        "ownership",
+        "platform",
+        "link"};
+    return names.at(static_cast<std::size_t>(channel));
+}
+
+void put(const std::string& text)
+{
+    std::fwrite(text.data(), 1, text.size(), stderr);
+}
+
+bool write_some()
+{
+    bool any = false;
+    std::string batch;
+    std::string* line{};
+    while (state().ring.pop(line))
+    {
+        const std::unique_ptr<std::string> owned{line};
+        batch += *owned;
+        any = true;
+    }
+    put(batch);
+    return any;
+}
+
+void report_drops(std::uint64_t& reported)
+{
+    const auto dropped = state().dropped.load();
+    if (dropped == reported)
+    {
+        return;
+    }
+    put(fmt::format("event=log_lines_dropped total={}\n", dropped));
+    reported = dropped;
+}
+
+void run_writer()
+{
+    std::uint64_t reported = state().dropped.load();
+    while (!state().stop.load())
+    {
+        if (!write_some())
+        {
+            std::this_thread::sleep_for(idle_wait);
+        }
+        report_drops(reported);
+    }
+    write_some();
+    report_drops(reported);
+}
+
+} // namespace
+
+void set_log_level(log_level level)
+{
+    state().level.store(level);
+}
+
+bool log_enabled(log_level level)
+{
+    return level >= state().level.load(std::memory_order_relaxed);
+}
+
+std::uint64_t log_lines_dropped()
+{
+    return state().dropped.load();
+}
+
+log_writer::log_writer()
+{
+    state().stop.store(false);
+    state().thread = std::thread{run_writer};
+    state().writer_lives.store(true);
+}
+
+log_writer::~log_writer()
+{
+    state().writer_lives.store(false);
+    state().stop.store(true);
+    state().thread.join();
+}
+
+void write_log(log_level level, log_channel channel, log_line line)
+{
+    using namespace std::chrono;
+    const auto since_epoch = system_clock::now().time_since_epoch();
+    const auto stamp = duration_cast<milliseconds>(since_epoch).count();
+    auto text = std::make_unique<std::string>(fmt::format(
+        "time_ms={} level={} channel={} {}\n",
+        stamp,
+        name(level),
+        name(channel),
+        std::move(line).take()));
+    if (!state().writer_lives.load(std::memory_order_relaxed))
+    {
+        put(*text);
+        return;
+    }
+    // bounded_push never allocates, so that a full ring drops instead of
+    // growing without limit while standard error is stuck.
+    if (state().ring.bounded_push(text.get()))
+    {
+        static_cast<void>(text.release());
+        return;
+    }
+    state().dropped.fetch_add(1);
+}
+
+} // namespace waxwingvalve::base
