--- /dev/null
+++ b/packages/decision/records/configuration.cpp
@@ -0,0 +1,75 @@
+#include "decision/records/configuration.hpp"
+
+#include <variant>
+
+namespace waxwingvalve::decision::records
+{
+namespace
+{
+
+struct retired_of
+{
+    bool operator()(const schema::deployment&) const { return false; }
+
+    template <class Body>
+    bool operator()(const Body& body) const
+    {
+        return body.retired;
+    }
+};
+
+} // namespace
+
+std::string record_key(std::string_view kind, std::string_view name)
+{
+    std::string key{kind};
+    key += '/';
+    key += name;
+    return key;
+}
+
+const schema::service* configuration::find_service(std::string_view name) const
+{
+    const auto found = by_key.find(record_key("service", name));
+    if (found == by_key.end())
+    {
+        return nullptr;
+    }
+    return std::get_if<schema::service>(&found->second.body);
+}
+
+const schema::deployment* configuration::find_deployment() const
+{
+    for (const auto& [key, record] : by_key)
+    {
+        if (const auto* found = std::get_if<schema::deployment>(&record.body))
+        {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+loaded_configuration load_configuration(
+    revision at, std::span<const stored_record> rows)
+{
+    loaded_configuration out;
+    out.value.revision = at;
+    for (const auto& row : rows)
+    {
+        auto parsed = schema::parse_record(row.json);
+        if (!parsed)
+        {
+            out.unreadable.push_back({row.key, parsed.error()});
+            continue;
+        }
+        if (std::visit(retired_of{}, parsed.value().body))
+        {
+            continue;
+        }
+        out.value.by_key.emplace(row.key, std::move(parsed).value());
+    }
+    return out;
+}
+
+} // namespace waxwingvalve::decision::records
--- /dev/null
+++ b/packages/decision/records/configuration.hpp
@@ -0,0 +1,62 @@
+// The configuration in force: every accepted record at one revision.
+//
+// A configuration is a value and never changes; a daemon swaps the pointer
+// to it. It is only ever replaced by one of a higher revision.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "base/result.hpp"
+#include "schema/records.hpp"
+
+namespace waxwingvalve::decision::records
+{
+
+// Counts accepted changes; 0 before the first.
+using revision = std::uint64_t;
+
+// Invariant: keyed by "kind/name"; holds no retired record.
+struct configuration
+{
+    records::revision revision{};
+    std::map<std::string, schema::record, std::less<>> by_key{};
+
+    const schema::service* find_service(std::string_view name) const;
+    // The first deployment record; nothing before one is accepted.
+    const schema::deployment* find_deployment() const;
+};
+
+// "service/seam-registry".
+std::string record_key(std::string_view kind, std::string_view name);
+
+// One accepted record as the store or a peer hands it over.
+struct stored_record
+{
+    std::string key{};
+    std::string json{};
+};
+
+// A record that could not be read; the others of the same set stay valid.
+struct unreadable_record
+{
+    std::string key{};
+    base::error reason{};
+};
+
+struct loaded_configuration
+{
+    configuration value{};
+    std::vector<unreadable_record> unreadable{};
+};
+
+// Reads all accepted records of one revision.
+loaded_configuration load_configuration(
+    revision at, std::span<const stored_record> rows);
+
+} // namespace waxwingvalve::decision::records
--- /dev/null
+++ b/packages/decision/records/proposal.hpp
@@ -0,0 +1,59 @@
+// A proposal on its way from one operator's draft to an accepted record.
+//
+// Pure transitions; whoever calls them writes the result to the platform
+// under the condition that the row has not changed in between.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/result.hpp"
+#include "decision/records/configuration.hpp"
+
+namespace waxwingvalve::decision::records
+{
+
+enum class proposal_state : std::uint8_t
+{
+    open,
+    reviewed,
+    accepted,
+    rejected,
+};
+
+// Invariant: `reviewer` is set from `reviewed` on and never the author.
+struct proposal
+{
+    std::string id{};
+    std::string author{};
+    std::string reviewer{};
+    // The operator who accepted or rejected.
+    std::string closer{};
+    proposal_state state{proposal_state::open};
+    // Revision in force when it was proposed.
+    revision based_on{};
+    // Revision that accepting it made; 0 before.
+    revision accepted_as{};
+    // The record's text as the author wrote it.
+    std::string record_json{};
+};
+
+// Errors: proposal_closed; author_cannot_accept when the author reviews.
+base::result<proposal> review(proposal from, std::string_view reviewer);
+
+// Errors: proposal_closed, review_missing. `head` is the revision in force.
+base::result<proposal> accept(
+    proposal from, std::string_view by, revision head);
+
+// Errors: proposal_closed.
+base::result<proposal> reject(proposal from, std::string_view by);
+
+std::string to_json(const proposal& from);
+
+// Errors: platform_answer_invalid.
+base::result<proposal> parse_proposal(std::string_view json);
+
+std::string_view to_string(proposal_state state);
+
+} // namespace waxwingvalve::decision::records
