--- /dev/null
+++ b/packages/net/http_server.cpp
@@ -0,0 +1,370 @@
+#include "net/http_server.hpp"
+
+#include <set>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace waxwingvalve::net
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using base::result_code;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr int listen_backlog = 1024;
+
+using parser_type = http::request_parser<http::string_body>;
+
+base::error to_error(beast::error_code failure)
+{
+    if (failure == http::error::header_limit)
+    {
+        return {result_code::request_header_too_large};
+    }
+    if (failure == http::error::body_limit)
+    {
+        return {result_code::request_body_too_large};
+    }
+    if (failure == beast::error::timeout)
+    {
+        return {result_code::request_too_slow};
+    }
+    return {result_code::request_malformed, failure.message()};
+}
+
+// Two lengths, or a length beside a chunked body, mean that two readers of
+// the same bytes can disagree where a request ends (RFC 9112, section 6.3).
+bool ambiguous_length(const http::fields& fields)
+{
+    const auto lengths = fields.count(http::field::content_length);
+    const auto encodings = fields.count(http::field::transfer_encoding);
+    return lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1);
+}
+
+http_request to_request(http::request<http::string_body>&& message)
+{
+    http_request out;
+    out.method = message.method_string();
+    out.target = message.target();
+    for (const auto& field : message)
+    {
+        if (!hop_by_hop(field.name_string()))
+        {
+            out.fields.push_back({field.name_string(), field.value()});
+        }
+    }
+    out.body = std::move(message.body());
+    return out;
+}
+
+http::response<http::string_body> to_message(
+    http_response&& answer, bool keep_alive)
+{
+    http::response<http::string_body> out;
+    out.result(answer.status);
+    for (const auto& [name, value] : answer.fields)
+    {
+        out.insert(name, value);
+    }
+    out.body() = std::move(answer.body);
+    out.keep_alive(keep_alive);
+    out.prepare_payload();
+    return out;
+}
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<state>
+{
+    state(asio::io_context& c, server_limits l, server_handlers h)
+        : context{c}, limits{l}, handlers{std::move(h)}, acceptor{c}
+    {
+    }
+
+    class session;
+
+    asio::awaitable<void> accept_loop();
+
+    asio::io_context& context;
+    server_limits limits;
+    server_handlers handlers;
+    tcp::acceptor acceptor;
+    std::set<session*> sessions;
+    std::size_t running{0};
+    bool stopping{false};
+};
+
+// One connection. Invariant: it is in `sessions` from construction to end.
+class http_server::state::session
+{
+public:
+    session(std::shared_ptr<state> owner, tcp::socket socket)
+        : owner_{std::move(owner)}, stream_{std::move(socket)}
+    {
+        owner_->sessions.insert(this);
+    }
+    ~session() { owner_->sessions.erase(this); }
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    asio::awaitable<void> run();
+
+    // Ends the wait for a next request; a running one is left alone.
+    void close_if_idle()
+    {
+        if (idle_)
+        {
+            stream_.cancel();
+        }
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        stream_.socket().close(ignored);
+    }
+
+private:
+    asio::awaitable<bool> serve_one();
+    asio::awaitable<bool> send(http_response answer, bool keep_alive);
+    asio::awaitable<void> refuse(base::error failure);
+    asio::awaitable<std::optional<http_response>> answer(http_request request);
+    asio::awaitable<void> wait_for_hang_up();
+
+    std::shared_ptr<state> owner_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    bool idle_{true};
+};
+
+asio::awaitable<void> http_server::state::session::run()
+{
+    while (co_await serve_one())
+    {
+    }
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<bool> http_server::state::session::serve_one()
+{
+    parser_type parser;
+    parser.header_limit(owner_->limits.head_bytes);
+    parser.body_limit(owner_->limits.body_bytes);
+
+    if (buffer_.size() == 0)
+    {
+        idle_ = true;
+        stream_.expires_after(owner_->limits.idle_time);
+        constexpr std::size_t first_read = 4096;
+        auto [failure, size] = co_await stream_.async_read_some(
+            buffer_.prepare(first_read), use_tuple);
+        if (failure)
+        {
+            co_return false;
+        }
+        buffer_.commit(size);
+    }
+    idle_ = false;
+
+    stream_.expires_after(owner_->limits.receive_time);
+    auto [head_failure, head_size] =
+        co_await http::async_read_header(stream_, buffer_, parser, use_tuple);
+    if (head_failure == http::error::end_of_stream)
+    {
+        co_return false;
+    }
+    if (head_failure)
+    {
+        co_await refuse(to_error(head_failure));
+        co_return false;
+    }
+    if (ambiguous_length(parser.get()))
+    {
+        co_await refuse({result_code::request_ambiguous_length});
+        co_return false;
+    }
+    auto [body_failure, body_size] =
+        co_await http::async_read(stream_, buffer_, parser, use_tuple);
+    if (body_failure)
+    {
+        co_await refuse(to_error(body_failure));
+        co_return false;
+    }
+    stream_.expires_never();
+
+    const bool keep_alive = parser.get().keep_alive() && !owner_->stopping;
+    auto reply = co_await answer(to_request(parser.release()));
+    if (!reply)
+    {
+        co_return false;
+    }
+    co_return co_await send(std::move(*reply), keep_alive);
+}
+
+asio::awaitable<std::optional<http_response>>
+http_server::state::session::answer(http_request request)
+{
+    using namespace asio::experimental::awaitable_operators;
+    if (auto quick = owner_->handlers.fast(request))
+    {
+        co_return quick;
+    }
+    ++owner_->running;
+    auto outcome = co_await (
+        owner_->handlers.route(std::move(request)) || wait_for_hang_up());
+    --owner_->running;
+    if (outcome.index() == 0)
+    {
+        co_return std::move(std::get<0>(outcome));
+    }
+    co_return std::nullopt;
+}
+
+// Returns when the caller has closed its side. Bytes that arrive meanwhile
+// (a pipelined request) end the watch without ending the request.
+asio::awaitable<void> http_server::state::session::wait_for_hang_up()
+{
+    auto& socket = stream_.socket();
+    auto [failure] =
+        co_await socket.async_wait(tcp::socket::wait_read, use_tuple);
+    if (failure)
+    {
+        co_return;
+    }
+    char byte{};
+    beast::error_code peek_failure;
+    socket.non_blocking(true, peek_failure);
+    socket.receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, peek_failure);
+    if (peek_failure)
+    {
+        co_return;
+    }
+    asio::steady_timer never{socket.get_executor()};
+    never.expires_at(asio::steady_timer::time_point::max());
+    co_await never.async_wait(use_tuple);
+}
+
+asio::awaitable<void> http_server::state::session::refuse(base::error failure)
+{
+    co_await send(owner_->handlers.refuse(failure), false);
+}
+
+asio::awaitable<bool> http_server::state::session::send(
+    http_response answer, bool keep_alive)
+{
+    auto message = to_message(std::move(answer), keep_alive);
+    stream_.expires_after(owner_->limits.send_time);
+    auto [failure, size] =
+        co_await http::async_write(stream_, message, use_tuple);
+    co_return !failure && keep_alive;
+}
+
+asio::awaitable<void> http_server::state::accept_loop()
+{
+    while (!stopping)
+    {
+        auto [failure, socket] = co_await acceptor.async_accept(use_tuple);
+        if (failure == asio::error::operation_aborted)
+        {
+            co_return;
+        }
+        if (failure || sessions.size() >= limits.connections)
+        {
+            continue;
+        }
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay{true}, ignored);
+        auto connection =
+            std::make_shared<session>(shared_from_this(), std::move(socket));
+        co_spawn(
+            context,
+            [connection]() -> asio::awaitable<void>
+            { co_await connection->run(); },
+            asio::detached);
+    }
+}
+
+http_server::http_server(
+    asio::io_context& context, server_limits limits, server_handlers handlers)
+    : state_{std::make_shared<state>(context, limits, std::move(handlers))}
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+base::result<void> http_server::listen(const base::endpoint& where)
+{
+    beast::error_code failure;
+    const auto address = asio::ip::make_address(where.address, failure);
+    auto& acceptor = state_->acceptor;
+    const tcp::endpoint endpoint{address, where.port};
+    acceptor.open(endpoint.protocol(), failure);
+    acceptor.set_option(tcp::acceptor::reuse_address{true}, failure);
+    acceptor.bind(endpoint, failure);
+    if (!failure)
+    {
+        acceptor.listen(listen_backlog, failure);
+    }
+    if (failure)
+    {
+        return base::fail(
+            result_code::address_in_use,
+            to_string(where) + ": " + failure.message());
+    }
+    co_spawn(
+        state_->context,
+        [self = state_]() -> asio::awaitable<void>
+        { co_await self->accept_loop(); },
+        asio::detached);
+    return base::success();
+}
+
+void http_server::stop()
+{
+    state_->stopping = true;
+    beast::error_code ignored;
+    state_->acceptor.close(ignored);
+    for (auto* connection : state_->sessions)
+    {
+        connection->close_if_idle();
+    }
+}
+
+void http_server::abort()
+{
+    stop();
+    for (auto* connection : state_->sessions)
+    {
+        connection->close();
+    }
+}
+
+std::size_t http_server::connections() const
+{
+    return state_->sessions.size();
+}
+
+std::size_t http_server::running() const
+{
+    return state_->running;
+}
+
+} // namespace waxwingvalve::net
