--- /dev/null
+++ b/packages/cli/status_command.hpp
@@ -0,0 +1,16 @@
+// Asks every daemon for its status and prints a line each.
+#pragma once
+
+#include <span>
+#include <string>
+
+#include "base/endpoint.hpp"
+
+namespace waxwingvalve::cli
+{
+
+// One line per daemon, in the given order; one that does not answer within a
+// second is shown as unreachable.
+std::string all_statuses(std::span<const base::endpoint> daemons);
+
+} // namespace waxwingvalve::cli
--- /dev/null
+++ b/packages/daemon/daemon.cpp
@@ -0,0 +1,115 @@
+#include "daemon/daemon.hpp"
+
+#include <csignal>
+#include <cstdlib>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "base/log.hpp"
+#include "daemon/figures.hpp"
+#include "daemon/operators_duty.hpp"
+#include "daemon/records_duty.hpp"
+#include "daemon/serving_duty.hpp"
+
+namespace waxwingvalve::daemon
+{
+
+namespace asio = boost::asio;
+using base::log_channel;
+using base::log_event;
+using base::log_level;
+
+namespace
+{
+
+constexpr int exit_interrupted = 130;
+
+int report(const base::error& failure)
+{
+    log_event(
+        log_level::error,
+        log_channel::daemon,
+        "start_failed",
+        "reason",
+        to_string(failure));
+    return base::describe(failure.code).exit_status;
+}
+
+// The first signal begins a planned stop, the second ends the process.
+class stop_signals
+{
+public:
+    stop_signals(asio::io_context& context, serving_duty& serving)
+        : signals_{context, SIGTERM, SIGINT}
+    {
+        signals_.async_wait(
+            [this, &serving](const boost::system::error_code& failure, int)
+            {
+                if (failure)
+                {
+                    return;
+                }
+                log_event(log_level::info, log_channel::daemon, "planned_stop");
+                serving.begin_stop();
+                signals_.async_wait(
+                    [](const boost::system::error_code& second, int)
+                    {
+                        if (!second)
+                        {
+                            std::_Exit(exit_interrupted);
+                        }
+                    });
+            });
+    }
+
+private:
+    asio::signal_set signals_;
+};
+
+} // namespace
+
+int run_daemon(const schema::daemon_settings& settings)
+{
+    base::set_log_level(settings.log_level);
+    const base::log_writer log;
+
+    figures counts;
+    asio::io_context signal_context{1};
+    operators_duty operators{settings, counts};
+    {
+        serving_duty serving{settings, counts};
+        records_duty records{settings, counts, [&](configuration_pointer next) {
+                                 return serving.offer(std::move(next));
+                             }};
+        const stop_signals signals{signal_context, serving};
+
+        if (auto started = operators.start(); !started)
+        {
+            return report(started.error());
+        }
+        if (auto started = serving.start(); !started)
+        {
+            return report(started.error());
+        }
+        records.start();
+        std::thread signal_thread{[&] { signal_context.run(); }};
+        log_event(
+            log_level::info,
+            log_channel::daemon,
+            "started",
+            "name",
+            settings.name,
+            "zone",
+            settings.zone,
+            "address",
+            base::to_string(settings.caller_address));
+        serving.join();
+        signal_context.stop();
+        signal_thread.join();
+    }
+    log_event(log_level::info, log_channel::daemon, "stopped");
+    return EXIT_SUCCESS;
+}
+
+} // namespace waxwingvalve::daemon
--- /dev/null
+++ b/packages/daemon/figures.hpp
@@ -0,0 +1,28 @@
+// The figures that duties publish to one another without waiting.
+//
+// Each is written by one duty and read by any; none of them is a basis for a
+// decision, only for status pages and metrics.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace waxwingvalve::daemon
+{
+
+struct figures
+{
+    // Revision in force; 0 before the first. Ready means higher than 0.
+    std::atomic<std::uint64_t> revision{0};
+    std::atomic<bool> leaving{false};
+    std::atomic<std::uint64_t> look_ups{0};
+    std::atomic<std::uint64_t> requests{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> passed_to_peers{0};
+    std::atomic<std::uint64_t> platform_reads{0};
+    std::atomic<std::uint64_t> platform_failures{0};
+    std::atomic<std::uint64_t> connections{0};
+    std::atomic<std::uint64_t> running{0};
+};
+
+} // namespace waxwingvalve::daemon
