Base: one log ring for each logging thread

Cause: the thread sanitizer reports the free list of lockfree::queue, which several threads shared. Ruled out: a fault of the writer (the reports name only the queue's nodes). A ring that joins two threads has none; the lines of one thread keep their order.

--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -5,24 +5,32 @@
 #include <chrono>
 #include <cstdio>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
-#include <boost/lockfree/queue.hpp>
+#include "base/ring.hpp"
 
 namespace waxwingvalve::base
 {
 namespace
 {
 
-constexpr std::size_t ring_lines = 8192;
-// The writer sleeps this long when the ring is empty: long enough to cost
+constexpr std::size_t ring_lines = 4096;
+// The writer sleeps this long when every ring is empty: long enough to cost
 // nothing, short enough that an operator who tails the log sees no lag.
 constexpr std::chrono::milliseconds idle_wait{5};
 
+// One ring for each thread that logs: a ring joins exactly two threads.
+using line_ring = ring<std::string>;
+
 struct log_state
 {
-    boost::lockfree::queue<std::string*> ring{ring_lines};
+    // Guards the list of rings, not the rings: a thread takes it once, with
+    // its first line, and the writer once a round.
+    std::mutex rings_mutex;
+    std::vector<std::shared_ptr<line_ring>> rings;
     std::atomic<bool> writer_lives{false};
     std::atomic<bool> stop{false};
     std::atomic<log_level> level{log_level::info};
@@ -36,6 +44,24 @@
     return instance;
 }
 
+line_ring& own_ring()
+{
+    thread_local const auto own = []
+    {
+        auto made = std::make_shared<line_ring>(ring_lines);
+        const std::scoped_lock lock{state().rings_mutex};
+        state().rings.push_back(made);
+        return made;
+    }();
+    return *own;
+}
+
+std::vector<std::shared_ptr<line_ring>> all_rings()
+{
+    const std::scoped_lock lock{state().rings_mutex};
+    return state().rings;
+}
+
 std::string_view name(log_level level)
 {
     constexpr std::array names{"debug", "info", "warning", "error"};
@@ -64,17 +90,16 @@
 
 bool write_some()
 {
-    bool any = false;
     std::string batch;
-    std::string* line{};
-    while (state().ring.pop(line))
+    for (const auto& lines : all_rings())
     {
-        const std::unique_ptr<std::string> owned{line};
-        batch += *owned;
-        any = true;
+        while (auto line = lines->pop())
+        {
+            batch += *line;
+        }
     }
     put(batch);
-    return any;
+    return !batch.empty();
 }
 
 void report_drops(std::uint64_t& reported)
@@ -139,25 +164,23 @@
     using namespace std::chrono;
     const auto since_epoch = system_clock::now().time_since_epoch();
     const auto stamp = duration_cast<milliseconds>(since_epoch).count();
-    auto text = std::make_unique<std::string>(fmt::format(
+    auto text = fmt::format(
         "time_ms={} level={} channel={} {}\n",
         stamp,
         name(level),
         name(channel),
-        std::move(line).take()));
+        std::move(line).take());
     if (!state().writer_lives.load(std::memory_order_relaxed))
     {
-        put(*text);
+        put(text);
         return;
     }
-    // bounded_push never allocates, so that a full ring drops instead of
-    // growing without limit while standard error is stuck.
-    if (state().ring.bounded_push(text.get()))
+    // A full ring drops the line: while standard error is stuck, no caller
+    // waits and nothing grows.
+    if (!own_ring().push(std::move(text)))
     {
-        static_cast<void>(text.release());
-        return;
+        state().dropped.fetch_add(1);
     }
-    state().dropped.fetch_add(1);
 }
 
 } // namespace waxwingvalve::base
--- a/packages/base/log.hpp
+++ b/packages/base/log.hpp
@@ -1,8 +1,9 @@
 // Logging by channel and level, one key=value line per event.
 //
-// A line is handed to a bounded ring and written to standard error by the
-// log's own thread, so that no caller ever waits for a write. When the ring
-// is full the line is dropped and counted; the count is logged later.
+// A line is handed to a bounded ring of the logging thread and written to
+// standard error by the log's own thread, so that no caller ever waits for a
+// write. When the ring is full the line is dropped and counted; the count is
+// logged later.
 #pragma once
 
 #include <cstdint>
--- a/tests/base/log_test.cpp
+++ b/tests/base/log_test.cpp
@@ -17,6 +17,7 @@
     {
         const log_writer writer;
         std::vector<std::thread> duties;
+        duties.reserve(threads);
         for (int duty = 0; duty < threads; ++duty)
         {
             duties.emplace_back(
