--- /dev/null
+++ b/packages/daemon/serving/attempts.hpp
@@ -0,0 +1,45 @@
+// Carries one request to a worker or a peer and its answer back.
+//
+// Touched by the serving thread alone.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "daemon/figures.hpp"
+#include "daemon/serving/job.hpp"
+#include "daemon/serving/placement.hpp"
+#include "net/http_message.hpp"
+#include "schema/settings.hpp"
+
+namespace waxwingvalve::daemon::serving
+{
+
+class attempts
+{
+public:
+    attempts(
+        const schema::daemon_settings& settings,
+        placement& places,
+        figures& counts);
+
+    // The upstream's whole answer, or one of the system's own that says
+    // whether the request ran.
+    boost::asio::awaitable<net::http_response> run(job& work);
+
+private:
+    boost::asio::awaitable<net::http_response> run_here(
+        job& work, slot_hold hold);
+    boost::asio::awaitable<net::http_response> pass_on(
+        job& work, const peer_target& peer);
+    std::string next_attempt_id();
+
+    const schema::daemon_settings& settings_;
+    placement& places_;
+    figures& counts_;
+    std::uint64_t last_attempt_{0};
+};
+
+} // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving/front.hpp
+++ b/packages/daemon/serving/front.hpp
@@ -4,14 +4,14 @@
 // Touched by the serving thread alone.
 #pragma once
 
-#include <cstdint>
 #include <optional>
-#include <string>
 
 #include <boost/asio/awaitable.hpp>
 
-#include "base/time.hpp"
+#include "base/result.hpp"
 #include "daemon/figures.hpp"
+#include "daemon/serving/attempts.hpp"
+#include "daemon/serving/job.hpp"
 #include "daemon/serving/placement.hpp"
 #include "net/http_message.hpp"
 #include "schema/settings.hpp"
@@ -34,20 +34,12 @@
         net::http_request in);
 
 private:
-    struct job;
-
     base::result<job> accept(net::http_request&& in) const;
-    boost::asio::awaitable<net::http_response> run(job& work);
-    boost::asio::awaitable<net::http_response> run_here(
-        job& work, slot_hold hold);
-    boost::asio::awaitable<net::http_response> pass_on(
-        job& work, const schema::peer_settings& peer);
-    std::string next_attempt_id();
 
     const schema::daemon_settings& settings_;
     placement& places_;
     figures& counts_;
-    std::uint64_t attempts_{0};
+    attempts attempts_;
 };
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -15,9 +15,35 @@
 using base::log_level;
 using base::result_code;
 
+namespace
+{
+
+// Until the daemons have heard of one another, those of the settings count
+// as alive, so that a zone cut off at its start can serve.
+member_pointer members_of_settings(const schema::daemon_settings& settings)
+{
+    decision::membership::member_snapshot out;
+    for (const auto& peer : settings.peers)
+    {
+        out.members.push_back(
+            {{.name = peer.name,
+              .region = peer.region,
+              .zone = peer.zone,
+              .caller_address = peer.caller_address,
+              .peer_address = peer.peer_address},
+             decision::membership::member_state::alive,
+             {}});
+    }
+    return std::make_shared<const decision::membership::member_snapshot>(
+        std::move(out));
+}
+
+} // namespace
+
 placement::placement(
     asio::any_io_executor executor, const schema::daemon_settings& settings)
     : executor_{std::move(executor)}, settings_{settings},
+      members_{members_of_settings(settings)},
       configuration_{std::make_shared<decision::records::configuration>()}
 {
     zone_members_[settings.zone].push_back(settings.name);
@@ -43,6 +69,32 @@
     std::shared_ptr<const decision::records::configuration> next)
 {
     configuration_ = std::move(next);
+    rebuild_pools();
+}
+
+void placement::adopt_members(member_pointer next)
+{
+    members_ = std::move(next);
+}
+
+void placement::adopt_ownership(decision::ownership::owned_workers next)
+{
+    ownership_ = std::move(next);
+    rebuild_pools();
+}
+
+bool placement::owns(const schema::worker& one) const
+{
+    if (ownership_)
+    {
+        return ownership_->may_dispatch &&
+               ownership_->addresses.contains(one.address);
+    }
+    return owner_of(one) == settings_.name;
+}
+
+void placement::rebuild_pools()
+{
     std::map<std::string, pools, std::less<>> owned;
     for (const auto& [key, record] : configuration_->by_key)
     {
@@ -55,7 +107,7 @@
         auto& now = owned[service->name];
         for (const auto& one : service->workers)
         {
-            if (owner_of(one) != settings_.name)
+            if (!owns(one))
             {
                 continue;
             }
@@ -100,19 +152,20 @@
         { return owner_of(one) == daemon ? sum + one.slots : sum; });
 }
 
-const schema::peer_settings* placement::choose_peer(
+std::optional<peer_target> placement::choose_peer(
     const schema::service& service)
 {
-    const auto count = settings_.peers.size();
-    for (std::size_t tried = 0; tried < count; ++tried)
+    const auto& members = members_->members;
+    for (std::size_t tried = 0; tried < members.size(); ++tried)
     {
-        const auto& peer = settings_.peers[next_peer_++ % count];
-        if (slots_of(peer.name, service) > 0)
+        const auto& peer = members[next_peer_++ % members.size()];
+        if (peer.state == decision::membership::member_state::alive &&
+            slots_of(peer.report.name, service) > 0)
         {
-            return &peer;
+            return peer_target{peer.report.name, peer.report.caller_address};
         }
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 placed placement::place(std::string_view service, bool may_pass)
@@ -143,8 +196,8 @@
             configuration_->revision);
         return slot_hold{*freest};
     }
-    const auto* peer = may_pass ? choose_peer(*record) : nullptr;
-    if (peer == nullptr)
+    auto peer = may_pass ? choose_peer(*record) : std::nullopt;
+    if (!peer)
     {
         return base::error{result_code::no_room, std::string{service}};
     }
@@ -157,12 +210,12 @@
         "chosen",
         peer->name,
         "among",
-        settings_.peers.size(),
+        members_->members.size(),
         "why",
         "no-room-here",
         "revision",
         configuration_->revision);
-    return peer;
+    return std::move(*peer);
 }
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -15,6 +15,8 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "daemon/serving/worker_pool.hpp"
+#include "decision/membership/member_snapshot.hpp"
+#include "decision/ownership/owned_workers.hpp"
 #include "decision/records/configuration.hpp"
 #include "schema/settings.hpp"
 
@@ -28,9 +30,18 @@
     std::uint32_t free{};
 };
 
+// A daemon that a request is passed to.
+struct peer_target
+{
+    std::string name{};
+    base::endpoint caller_address{};
+};
+
 // A request runs on an own worker, is passed to a peer, or is refused.
-using placed =
-    std::variant<slot_hold, const schema::peer_settings*, base::error>;
+using placed = std::variant<slot_hold, peer_target, base::error>;
+
+using member_pointer =
+    std::shared_ptr<const decision::membership::member_snapshot>;
 
 class placement
 {
@@ -43,6 +54,18 @@
     // running requests keep their slots.
     void adopt(std::shared_ptr<const decision::records::configuration> next);
 
+    // Takes a newer view of the other daemons.
+    void adopt_members(member_pointer next);
+
+    // Takes a newer set of workers that this daemon may dispatch to. Before
+    // the first, rendezvous hashing over the settings' peers decides.
+    void adopt_ownership(decision::ownership::owned_workers next);
+
+    const decision::membership::member_snapshot& members() const
+    {
+        return *members_;
+    }
+
     const decision::records::configuration& in_force() const
     {
         return *configuration_;
@@ -60,12 +83,16 @@
     using pools = std::vector<std::shared_ptr<worker_pool>>;
 
     std::optional<std::string_view> owner_of(const schema::worker& one) const;
-    const schema::peer_settings* choose_peer(const schema::service& service);
+    bool owns(const schema::worker& one) const;
+    void rebuild_pools();
+    std::optional<peer_target> choose_peer(const schema::service& service);
 
     boost::asio::any_io_executor executor_;
     const schema::daemon_settings& settings_;
     // Names of all daemons of each zone, this one included.
     std::map<std::string, std::vector<std::string>, std::less<>> zone_members_;
+    member_pointer members_;
+    std::optional<decision::ownership::owned_workers> ownership_;
     std::shared_ptr<const decision::records::configuration> configuration_;
     std::map<std::string, pools, std::less<>> owned_;
     std::size_t next_peer_{0};
