--- a/packages/schema/json_reader.cpp
+++ b/packages/schema/json_reader.cpp
@@ -8,6 +8,7 @@
 base::result<std::vector<std::uint8_t>> read_json(
     const json_schema& schema, std::string_view text)
 {
+    BOOST_OUTCOME_TRY(check_json(schema, text));
     flatbuffers::IDLOptions options;
     options.strict_json = true;
     flatbuffers::Parser parser{options};
--- a/packages/schema/settings.cpp
+++ b/packages/schema/settings.cpp
@@ -2,7 +2,7 @@
 
 #include <fstream>
 #include <iterator>
-#include <optional>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -96,25 +96,105 @@
     return out;
 }
 
-result<std::vector<peer_settings>> to_peers(const wire::daemon_settingsT& in)
+result<void> check_peer(const daemon_settings& own, std::size_t position)
+{
+    const auto& peer = own.peers[position];
+    const auto taken = [&](std::string_view field, std::string_view value)
+    {
+        return fail(
+            result_code::settings_invalid,
+            fmt::format(
+                "peers[{}].{}: expected another one than a daemon before it "
+                "has, found \"{}\"",
+                position,
+                field,
+                value));
+    };
+    if (peer.name == own.name)
+    {
+        return taken("name", peer.name);
+    }
+    if (peer.zone == own.zone && peer.region != own.region)
+    {
+        return fail(
+            result_code::settings_invalid,
+            fmt::format(
+                "peers[{}].region: expected \"{}\", the region of zone "
+                "\"{}\", found \"{}\"",
+                position,
+                own.region,
+                own.zone,
+                peer.region));
+    }
+    for (std::size_t before = 0; before < position; ++before)
+    {
+        const auto& other = own.peers[before];
+        if (other.name == peer.name)
+        {
+            return taken("name", peer.name);
+        }
+        if (other.caller_address == peer.caller_address)
+        {
+            return taken("caller_address", to_string(peer.caller_address));
+        }
+        if (other.peer_address == peer.peer_address)
+        {
+            return taken("peer_address", to_string(peer.peer_address));
+        }
+    }
+    return base::success();
+}
+
+result<void> add_peers(daemon_settings& out, const wire::daemon_settingsT& in)
 {
-    std::vector<peer_settings> out;
     for (const auto& peer : in.peers)
     {
-        const auto position = out.size();
-        if (peer->name == in.name)
+        const auto position = out.peers.size();
+        BOOST_OUTCOME_TRY(auto parsed, to_peer(*peer, position));
+        out.peers.push_back(std::move(parsed));
+        BOOST_OUTCOME_TRY(check_peer(out, position));
+    }
+    return base::success();
+}
+
+result<void> check_own_addresses(const daemon_settings& own)
+{
+    const bool distinct = own.caller_address != own.peer_address &&
+                          own.caller_address != own.operator_address &&
+                          own.peer_address != own.operator_address;
+    if (!distinct)
+    {
+        return fail(
+            result_code::settings_invalid,
+            fmt::format(
+                "operator_address: expected caller, peer and operator "
+                "addresses that differ, found \"{}\", \"{}\" and \"{}\"",
+                to_string(own.caller_address),
+                to_string(own.peer_address),
+                to_string(own.operator_address)));
+    }
+    return base::success();
+}
+
+result<void> check_limits(const wire::limit_settingsT& in)
+{
+    const std::pair<std::string_view, std::uint32_t> limits[] = {
+        {"connections", in.connections},
+        {"head_bytes", in.head_bytes},
+        {"body_bytes", in.body_bytes},
+        {"receive_ms", in.receive_ms},
+        {"idle_ms", in.idle_ms},
+        {"send_ms", in.send_ms}};
+    for (const auto& [name, value] : limits)
+    {
+        if (value == 0)
         {
             return fail(
                 result_code::settings_invalid,
-                fmt::format(
-                    "peers[{}].name: expected another daemon, found \"{}\"",
-                    position,
-                    peer->name));
+                fmt::format("limits.{}: expected 1 or more, found 0", name));
         }
-        BOOST_OUTCOME_TRY(auto parsed, to_peer(*peer, position));
-        out.push_back(std::move(parsed));
     }
-    return out;
+    return base::success();
 }
 
 limit_settings to_limits(const wire::limit_settingsT& in)
@@ -178,8 +258,11 @@
         out.operator_address,
         endpoint_at("operator_address", in.operator_address));
     BOOST_OUTCOME_TRY(out.platform, to_platform(*in.platform));
-    BOOST_OUTCOME_TRY(out.peers, to_peers(in));
-    out.limits = to_limits(in.limits ? *in.limits : wire::limit_settingsT{});
+    BOOST_OUTCOME_TRY(check_own_addresses(out));
+    BOOST_OUTCOME_TRY(add_peers(out, in));
+    const auto limits = in.limits ? *in.limits : wire::limit_settingsT{};
+    BOOST_OUTCOME_TRY(check_limits(limits));
+    out.limits = to_limits(limits);
     BOOST_OUTCOME_TRY(out.log_level, to_log_level(in.log_level));
     return out;
 }
