Net: every bad shape from outside is refused with a code

Cause: a slow sender's connection was closed without an answer, since Beast's stream closes the socket at its timeout; a caller beyond the limit of connections was closed silently; and two shapes that hide a request behind another were taken: a list of lengths (served as 200) and an encoding that does not end in chunked (served as 200 without body, the rest read as a second request). Ruled out: the limits themselves, which Beast enforced.

--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -1,12 +1,15 @@
 #include "net/http_server.hpp"
 
+#include <algorithm>
 #include <set>
+#include <sstream>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -28,6 +31,22 @@
 
 using parser_type = http::request_parser<http::string_body>;
 
+// Counts a running request for as long as it lives, however it ends.
+class running_count
+{
+public:
+    explicit running_count(std::size_t& running) : running_{running}
+    {
+        ++running_;
+    }
+    ~running_count() { --running_; }
+    running_count(const running_count&) = delete;
+    running_count& operator=(const running_count&) = delete;
+
+private:
+    std::size_t& running_;
+};
+
 base::error to_error(beast::error_code failure)
 {
     if (failure == http::error::header_limit)
@@ -38,20 +57,36 @@
     {
         return {result_code::request_body_too_large};
     }
-    if (failure == beast::error::timeout)
+    // What these name is what makes two readers of the same bytes disagree.
+    if (failure == http::error::multiple_content_length ||
+        failure == http::error::bad_content_length ||
+        failure == http::error::bad_transfer_encoding)
     {
-        return {result_code::request_too_slow};
+        return {result_code::request_ambiguous_length, failure.message()};
     }
     return {result_code::request_malformed, failure.message()};
 }
 
-// Two lengths, or a length beside a chunked body, mean that two readers of
-// the same bytes can disagree where a request ends (RFC 9112, section 6.3).
+// Two lengths, a list of them, a length beside a chunked body or an encoding
+// that does not end the body mean that two readers of the same bytes can
+// disagree where a request ends (RFC 9112, section 6.3). Beast takes a list
+// for its first length and an unknown encoding for no body.
 bool ambiguous_length(const http::fields& fields)
 {
     const auto lengths = fields.count(http::field::content_length);
     const auto encodings = fields.count(http::field::transfer_encoding);
-    return lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1);
+    if (lengths + encodings > 1)
+    {
+        return true;
+    }
+    const std::string_view length = fields[http::field::content_length];
+    if (!std::ranges::all_of(
+            length, [](char c) { return c >= '0' && c <= '9'; }))
+    {
+        return true;
+    }
+    return encodings == 1 &&
+           !beast::iequals(fields[http::field::transfer_encoding], "chunked");
 }
 
 http_request to_request(http::request<http::string_body>&& message)
@@ -97,6 +132,7 @@
     class session;
 
     asio::awaitable<void> accept_loop();
+    void turn_away(tcp::socket socket);
 
     asio::io_context& context;
     server_limits limits;
@@ -108,11 +144,12 @@
 };
 
 // One connection. Invariant: it is in `sessions` from construction to end.
-class http_server::state::session
+class http_server::state::session : public std::enable_shared_from_this<session>
 {
 public:
     session(std::shared_ptr<state> owner, tcp::socket socket)
-        : owner_{std::move(owner)}, stream_{std::move(socket)}
+        : owner_{std::move(owner)}, socket_{std::move(socket)},
+          timer_{owner_->context}
     {
         owner_->sessions.insert(this);
     }
@@ -127,84 +164,130 @@
     {
         if (idle_)
         {
-            stream_.cancel();
+            beast::error_code ignored;
+            socket_.cancel(ignored);
         }
     }
 
     void close()
     {
         beast::error_code ignored;
-        stream_.socket().close(ignored);
+        socket_.close(ignored);
     }
 
 private:
     asio::awaitable<bool> serve_one();
+    asio::awaitable<bool> wait_for_first_byte();
+    asio::awaitable<std::optional<base::error>> receive(parser_type& parser);
     asio::awaitable<bool> send(http_response answer, bool keep_alive);
-    asio::awaitable<void> refuse(base::error failure);
     asio::awaitable<std::optional<http_response>> answer(http_request request);
     asio::awaitable<void> wait_for_hang_up();
+    void start_timer(std::chrono::milliseconds time);
 
     std::shared_ptr<state> owner_;
-    beast::tcp_stream stream_;
+    tcp::socket socket_;
+    // Beast's own timeout closes the socket, and a slow sender is owed an
+    // answer with a code; this one only cancels what the socket waits for.
+    asio::steady_timer timer_;
+    bool timed_out_{false};
     beast::flat_buffer buffer_;
     bool idle_{true};
 };
 
+void http_server::state::session::start_timer(std::chrono::milliseconds time)
+{
+    timed_out_ = false;
+    timer_.expires_after(time);
+    timer_.async_wait(
+        [weak = weak_from_this()](const beast::error_code& cancelled)
+        {
+            const auto self = weak.lock();
+            if (cancelled || !self)
+            {
+                return;
+            }
+            self->timed_out_ = true;
+            beast::error_code ignored;
+            self->socket_.cancel(ignored);
+        });
+}
+
 asio::awaitable<void> http_server::state::session::run()
 {
     while (co_await serve_one())
     {
     }
+    timer_.cancel();
     beast::error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-asio::awaitable<bool> http_server::state::session::serve_one()
+asio::awaitable<bool> http_server::state::session::wait_for_first_byte()
 {
-    parser_type parser;
-    parser.header_limit(owner_->limits.head_bytes);
-    parser.body_limit(owner_->limits.body_bytes);
-
-    if (buffer_.size() == 0)
+    if (buffer_.size() > 0)
     {
-        idle_ = true;
-        stream_.expires_after(owner_->limits.idle_time);
-        constexpr std::size_t first_read = 4096;
-        auto [failure, size] = co_await stream_.async_read_some(
-            buffer_.prepare(first_read), use_tuple);
-        if (failure)
-        {
-            co_return false;
-        }
-        buffer_.commit(size);
+        co_return true;
     }
+    constexpr std::size_t first_read = 4096;
+    idle_ = true;
+    start_timer(owner_->limits.idle_time);
+    auto [failure, size] = co_await socket_.async_read_some(
+        buffer_.prepare(first_read), use_tuple);
+    buffer_.commit(size);
     idle_ = false;
+    co_return !failure;
+}
 
-    stream_.expires_after(owner_->limits.receive_time);
+// Nothing when the whole request came, or why it is refused. A caller who
+// leaves in the middle gets a refusal that nobody reads.
+asio::awaitable<std::optional<base::error>>
+http_server::state::session::receive(parser_type& parser)
+{
+    start_timer(owner_->limits.receive_time);
     auto [head_failure, head_size] =
-        co_await http::async_read_header(stream_, buffer_, parser, use_tuple);
-    if (head_failure == http::error::end_of_stream)
+        co_await http::async_read_header(socket_, buffer_, parser, use_tuple);
+    auto failure = head_failure;
+    if (!failure && ambiguous_length(parser.get()))
     {
-        co_return false;
+        co_return base::error{result_code::request_ambiguous_length};
     }
-    if (head_failure)
+    if (!failure &&
+        beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
-        co_await refuse(to_error(head_failure));
-        co_return false;
+        http::response<http::empty_body> go_on{http::status::continue_, 11};
+        co_await http::async_write(socket_, go_on, use_tuple);
     }
-    if (ambiguous_length(parser.get()))
+    if (!failure)
     {
-        co_await refuse({result_code::request_ambiguous_length});
-        co_return false;
+        auto [body_failure, body_size] =
+            co_await http::async_read(socket_, buffer_, parser, use_tuple);
+        failure = body_failure;
+    }
+    if (timed_out_)
+    {
+        co_return base::error{result_code::request_too_slow};
+    }
+    if (failure)
+    {
+        co_return to_error(failure);
     }
-    auto [body_failure, body_size] =
-        co_await http::async_read(stream_, buffer_, parser, use_tuple);
-    if (body_failure)
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> http_server::state::session::serve_one()
+{
+    if (!co_await wait_for_first_byte())
     {
-        co_await refuse(to_error(body_failure));
         co_return false;
     }
-    stream_.expires_never();
+    parser_type parser;
+    parser.header_limit(owner_->limits.head_bytes);
+    parser.body_limit(owner_->limits.body_bytes);
+    if (auto refusal = co_await receive(parser))
+    {
+        co_return co_await send(owner_->handlers.refuse(*refusal), false);
+    }
+    timer_.cancel();
 
     const bool keep_alive = parser.get().keep_alive() && !owner_->stopping;
     auto reply = co_await answer(to_request(parser.release()));
@@ -223,10 +306,9 @@
     {
         co_return quick;
     }
-    ++owner_->running;
+    const running_count count{owner_->running};
     auto outcome = co_await (
         owner_->handlers.route(std::move(request)) || wait_for_hang_up());
-    --owner_->running;
     if (outcome.index() == 0)
     {
         co_return std::move(std::get<0>(outcome));
@@ -238,42 +320,50 @@
 // (a pipelined request) end the watch without ending the request.
 asio::awaitable<void> http_server::state::session::wait_for_hang_up()
 {
-    auto& socket = stream_.socket();
     auto [failure] =
-        co_await socket.async_wait(tcp::socket::wait_read, use_tuple);
+        co_await socket_.async_wait(tcp::socket::wait_read, use_tuple);
     if (failure)
     {
         co_return;
     }
     char byte{};
     beast::error_code peek_failure;
-    socket.non_blocking(true, peek_failure);
-    socket.receive(
+    socket_.non_blocking(true, peek_failure);
+    socket_.receive(
         asio::buffer(&byte, 1), tcp::socket::message_peek, peek_failure);
     if (peek_failure)
     {
         co_return;
     }
-    asio::steady_timer never{socket.get_executor()};
+    asio::steady_timer never{socket_.get_executor()};
     never.expires_at(asio::steady_timer::time_point::max());
     co_await never.async_wait(use_tuple);
 }
 
-asio::awaitable<void> http_server::state::session::refuse(base::error failure)
-{
-    co_await send(owner_->handlers.refuse(failure), false);
-}
-
 asio::awaitable<bool> http_server::state::session::send(
     http_response answer, bool keep_alive)
 {
     auto message = to_message(std::move(answer), keep_alive);
-    stream_.expires_after(owner_->limits.send_time);
+    start_timer(owner_->limits.send_time);
     auto [failure, size] =
-        co_await http::async_write(stream_, message, use_tuple);
+        co_await http::async_write(socket_, message, use_tuple);
     co_return !failure && keep_alive;
 }
 
+// Tells one caller too many so without waiting for him: a flood of
+// connections must not hold what the limit is there to bound.
+void http_server::state::turn_away(tcp::socket socket)
+{
+    auto message = to_message(
+        handlers.refuse(base::error{result_code::too_many_connections}), false);
+    std::ostringstream text;
+    text << message;
+    beast::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(text.str()), ignored);
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 asio::awaitable<void> http_server::state::accept_loop()
 {
     while (!stopping)
@@ -283,8 +373,13 @@
         {
             co_return;
         }
-        if (failure || sessions.size() >= limits.connections)
+        if (failure)
+        {
+            continue;
+        }
+        if (sessions.size() >= limits.connections)
         {
+            turn_away(std::move(socket));
             continue;
         }
         beast::error_code ignored;
