Daemon: what an attempt proves travels with its answer

The front could not tell an upstream's own answer from a refusal of the system, so a recorded outcome would have had to be read back from header fields that an upstream can also set. attempts::run now returns the outcome beside the answer. An upstream's shed refusal that echoes the attempt counts as not run; Waxwing-Outcome and Waxwing-Code set by an upstream are dropped. Attempt ids belong to one hop: a peer gets back the one it sent, so an answer that was crossed on that hop is refused as well.

--- a/packages/daemon/serving/answers.cpp
+++ b/packages/daemon/serving/answers.cpp
@@ -106,6 +106,11 @@
     return out;
 }
 
+finished refuse(const base::error& reason, outcome what)
+{
+    return {what, make_refusal(reason, what)};
+}
+
 net::http_response make_json(std::string body)
 {
     net::http_response out;
--- a/packages/daemon/serving/answers.hpp
+++ b/packages/daemon/serving/answers.hpp
@@ -25,6 +25,18 @@
 
 std::string_view to_string(outcome what);
 
+// How a request ended here. Invariant: `what` is `done` only when `answer` is
+// the upstream's whole own answer; it is `not_run` only when no upstream ran
+// the request and none will.
+struct finished
+{
+    outcome what{outcome::unknown};
+    net::http_response answer{};
+};
+
+// A refusal and what it says of the request.
+finished refuse(const base::error& reason, outcome what);
+
 // JSON {code, name, message} with the status that suits the code.
 net::http_response make_refusal(const base::error& reason, outcome what);
 
--- a/packages/daemon/serving/attempts.cpp
+++ b/packages/daemon/serving/attempts.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include "daemon/serving/answers.hpp"
 #include "net/http_client.hpp"
 
 namespace waxwingvalve::daemon::serving
@@ -20,6 +19,68 @@
 constexpr milliseconds look_up_proven_within{30'000};
 constexpr milliseconds filing_proven_within{200};
 
+finished failed(const net::exchange_failure& failure)
+{
+    const bool may_have_run =
+        failure.progress == net::exchange_progress::maybe_sent;
+    return refuse(
+        failure.reason, may_have_run ? outcome::unknown : outcome::not_run);
+}
+
+bool echoes(const net::http_response& answer, std::string_view attempt)
+{
+    return net::find_field(answer.fields, attempt_field) == attempt;
+}
+
+// An upstream refuses a request that it did not run by this status and
+// outcome. Only the echoed attempt makes the refusal that of this attempt.
+bool shed(const net::http_response& answer)
+{
+    constexpr unsigned unavailable = 503;
+    return answer.status == unavailable &&
+           net::find_field(answer.fields, outcome_field) ==
+               to_string(outcome::not_run);
+}
+
+// What a worker's whole answer means.
+finished judge(net::http_response answer, std::string_view attempt)
+{
+    if (!echoes(answer, attempt))
+    {
+        return refuse({result_code::answer_mismatched}, outcome::unknown);
+    }
+    if (shed(answer))
+    {
+        return refuse({result_code::shed_by_upstream}, outcome::not_run);
+    }
+    // These two fields are the system's own: an upstream that sets them must
+    // not speak in its name.
+    net::remove_field(answer.fields, outcome_field);
+    net::remove_field(answer.fields, code_field);
+    return {outcome::done, std::move(answer)};
+}
+
+// What a peer's whole answer means: without an outcome of the peer's own it
+// is the upstream's answer.
+finished judge_peer(net::http_response answer, std::string_view attempt)
+{
+    if (!echoes(answer, attempt))
+    {
+        return refuse({result_code::answer_mismatched}, outcome::unknown);
+    }
+    const auto said = net::find_field(answer.fields, outcome_field);
+    auto what = outcome::unknown;
+    if (!said || said == to_string(outcome::done))
+    {
+        what = outcome::done;
+    }
+    else if (said == to_string(outcome::not_run))
+    {
+        what = outcome::not_run;
+    }
+    return {what, std::move(answer)};
+}
+
 } // namespace
 
 attempts::attempts(
@@ -33,7 +94,7 @@
     return fmt::format("{}-{}", settings_.name, ++last_attempt_);
 }
 
-asio::awaitable<net::http_response> attempts::run(job& work)
+asio::awaitable<finished> attempts::run(job& work)
 {
     auto where = places_.place(work.service, !work.passed);
     if (auto* hold = std::get_if<slot_hold>(&where))
@@ -46,11 +107,10 @@
         co_return co_await pass_on(work, *peer);
     }
     counts_.refused.fetch_add(1, std::memory_order_relaxed);
-    co_return make_refusal(std::get<base::error>(where), outcome::not_run);
+    co_return refuse(std::get<base::error>(where), outcome::not_run);
 }
 
-asio::awaitable<net::http_response> attempts::run_here(
-    job& work, slot_hold hold)
+asio::awaitable<finished> attempts::run_here(job& work, slot_hold hold)
 {
     const auto attempt = next_attempt_id();
     const auto left = work.deadline - base::monotonic_clock::now();
@@ -64,26 +124,17 @@
         work.request, work.deadline, proven_within);
     if (!answer)
     {
-        const bool may_have_run =
-            answer.error().progress == net::exchange_progress::maybe_sent;
-        co_return make_refusal(
-            answer.error().reason,
-            may_have_run ? outcome::unknown : outcome::not_run);
+        co_return failed(answer.error());
     }
-    const auto echoed = net::find_field(answer.value().fields, attempt_field);
-    if (echoed != attempt)
-    {
-        co_return make_refusal(
-            {result_code::answer_mismatched}, outcome::unknown);
-    }
-    co_return std::move(answer).value();
+    co_return judge(std::move(answer).value(), attempt);
 }
 
-asio::awaitable<net::http_response> attempts::pass_on(
-    job& work, const peer_target& peer)
+asio::awaitable<finished> attempts::pass_on(job& work, const peer_target& peer)
 {
     const auto left = work.deadline - base::monotonic_clock::now();
     auto& fields = work.request.fields;
+    const auto attempt = next_attempt_id();
+    net::set_field(fields, attempt_field, attempt);
     net::set_field(fields, passed_field, settings_.name);
     net::set_field(
         fields, deadline_field, fmt::format("{}", base::to_milliseconds(left)));
@@ -91,13 +142,9 @@
         co_await net::fetch(peer.caller_address, work.request, work.deadline);
     if (!answer)
     {
-        const bool may_have_run =
-            answer.error().progress == net::exchange_progress::maybe_sent;
-        co_return make_refusal(
-            answer.error().reason,
-            may_have_run ? outcome::unknown : outcome::not_run);
+        co_return failed(answer.error());
     }
-    co_return std::move(answer).value();
+    co_return judge_peer(std::move(answer).value(), attempt);
 }
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving/attempts.hpp
+++ b/packages/daemon/serving/attempts.hpp
@@ -9,9 +9,9 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "daemon/figures.hpp"
+#include "daemon/serving/answers.hpp"
 #include "daemon/serving/job.hpp"
 #include "daemon/serving/placement.hpp"
-#include "net/http_message.hpp"
 #include "schema/settings.hpp"
 
 namespace waxwingvalve::daemon::serving
@@ -27,12 +27,11 @@
 
     // The upstream's whole answer, or one of the system's own that says
     // whether the request ran.
-    boost::asio::awaitable<net::http_response> run(job& work);
+    boost::asio::awaitable<finished> run(job& work);
 
 private:
-    boost::asio::awaitable<net::http_response> run_here(
-        job& work, slot_hold hold);
-    boost::asio::awaitable<net::http_response> pass_on(
+    boost::asio::awaitable<finished> run_here(job& work, slot_hold hold);
+    boost::asio::awaitable<finished> pass_on(
         job& work, const peer_target& peer);
     std::string next_attempt_id();
 
--- a/packages/daemon/serving/front.cpp
+++ b/packages/daemon/serving/front.cpp
@@ -28,6 +28,24 @@
     return milliseconds{value};
 }
 
+// The attempt id that the asking peer gave; empty without one.
+std::string attempt_of(const net::http_request& in)
+{
+    return std::string{net::find_field(in.fields, attempt_field).value_or("")};
+}
+
+// Attempt ids belong to one hop: the asker gets its own back, not that of the
+// attempt at the upstream.
+net::http_response echo(net::http_response answer, const std::string& attempt)
+{
+    net::remove_field(answer.fields, attempt_field);
+    if (!attempt.empty())
+    {
+        net::set_field(answer.fields, attempt_field, attempt);
+    }
+    return answer;
+}
+
 } // namespace
 
 front::front(
@@ -91,13 +109,16 @@
     net::http_request in)
 {
     counts_.requests.fetch_add(1, std::memory_order_relaxed);
+    const auto asked_as = attempt_of(in);
     auto work = accept(std::move(in));
     if (!work)
     {
         counts_.refused.fetch_add(1, std::memory_order_relaxed);
-        co_return make_refusal(work.error(), outcome::not_run);
+        auto refusal = make_refusal(work.error(), outcome::not_run);
+        co_return echo(std::move(refusal), asked_as);
     }
-    co_return co_await attempts_.run(work.value());
+    auto ended = co_await attempts_.run(work.value());
+    co_return echo(std::move(ended.answer), asked_as);
 }
 
 } // namespace waxwingvalve::daemon::serving
