Daemon: planned stop in steps, metrics page, request latencies

Cause: SIGTERM closed the door at once, so callers who had cached the list of entries met refused connections. The steps are a state machine of its own: named nowhere, serving on for a list's lifetime, finishing, ended.

--- a/packages/daemon/figures.hpp
+++ b/packages/daemon/figures.hpp
@@ -7,6 +7,9 @@
 #include <atomic>
 #include <cstdint>
 
+#include "base/latency.hpp"
+#include "base/published.hpp"
+
 namespace waxwingvalve::daemon
 {
 
@@ -23,6 +26,7 @@
     std::atomic<std::uint64_t> platform_failures{0};
     std::atomic<std::uint64_t> connections{0};
     std::atomic<std::uint64_t> running{0};
+    base::published<base::latency_summary> request_latency;
 };
 
 } // namespace waxwingvalve::daemon
--- a/packages/daemon/operators_duty.cpp
+++ b/packages/daemon/operators_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "daemon/metrics_page.hpp"
 #include "daemon/serving/answers.hpp"
 
 namespace waxwingvalve::daemon
@@ -86,6 +87,13 @@
                      : make_refusal(
                            {result_code::no_configuration}, outcome::not_run);
     }
+    if (path == "/metrics")
+    {
+        net::http_response out;
+        out.fields = {{"Content-Type", "text/plain; version=0.0.4"}};
+        out.body = metrics_page(counts_);
+        return out;
+    }
     if (path == "/v1/status")
     {
         return serving::make_json(to_status(settings_, counts_));
--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -30,11 +30,14 @@
     const schema::daemon_settings& settings)
 {
     std::vector<ranked_entry> out;
-    out.push_back(
-        {settings.name,
-         settings.caller_address,
-         places.slots_of(settings.name, service),
-         0});
+    if (!places.leaving())
+    {
+        out.push_back(
+            {settings.name,
+             settings.caller_address,
+             places.slots_of(settings.name, service),
+             0});
+    }
     for (const auto& peer : settings.peers)
     {
         const int region_distance = peer.region == settings.region ? 1 : 2;
@@ -100,7 +103,7 @@
         "client",
         client.value_or("unnamed"),
         "chosen",
-        entries.front().name,
+        entries.empty() ? "none" : entries.front().name,
         "among",
         entries.size(),
         "why",
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -61,6 +61,10 @@
     // the first, rendezvous hashing over the settings' peers decides.
     void adopt_ownership(decision::ownership::owned_workers next);
 
+    // From here on this daemon names itself to no caller.
+    void set_leaving() { leaving_ = true; }
+    bool leaving() const { return leaving_; }
+
     const decision::membership::member_snapshot& members() const
     {
         return *members_;
@@ -96,6 +100,7 @@
     std::shared_ptr<const decision::records::configuration> configuration_;
     std::map<std::string, pools, std::less<>> owned_;
     std::size_t next_peer_{0};
+    bool leaving_{false};
 };
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -1,7 +1,9 @@
 #include "daemon/serving_duty.hpp"
 
+#include <algorithm>
+#include <variant>
+
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "base/log.hpp"
 #include "daemon/serving/answers.hpp"
@@ -13,11 +15,13 @@
 using base::log_channel;
 using base::log_event;
 using base::log_level;
+using decision::drains::stop_phase;
 
 namespace
 {
 
-constexpr std::chrono::milliseconds figures_period{100};
+constexpr std::chrono::milliseconds tick_period{100};
+constexpr std::chrono::minutes latency_window_length{1};
 
 net::server_limits to_limits(const schema::limit_settings& in)
 {
@@ -34,7 +38,8 @@
 
 serving_duty::serving_duty(
     const schema::daemon_settings& settings, figures& counts)
-    : context_{1}, settings_{settings}, counts_{counts},
+    : context_{1}, settings_{settings}, counts_{counts}, timer_{context_},
+      latencies_{latency_window_length},
       places_{context_.get_executor(), settings},
       front_{settings, places_, counts},
       server_{
@@ -43,7 +48,7 @@
           {.fast = [this](const net::http_request& in)
            { return front_.answer_now(in); },
            .route = [this](net::http_request in)
-           { return front_.serve(std::move(in)); },
+           { return serve(std::move(in)); },
            .refuse =
                [](const base::error& reason)
            {
@@ -72,7 +77,7 @@
 base::result<void> serving_duty::start()
 {
     BOOST_OUTCOME_TRY(server_.listen(settings_.caller_address));
-    watch_for_end();
+    tick_later();
     thread_ = std::thread{[this] { context_.run(); }};
     return base::success();
 }
@@ -101,6 +106,16 @@
     counts_.revision.store(places_.in_force().revision);
 }
 
+asio::awaitable<std::optional<net::http_response>> serving_duty::serve(
+    net::http_request in)
+{
+    const auto began = base::monotonic_clock::now();
+    auto answer = co_await front_.serve(std::move(in));
+    const auto ended = base::monotonic_clock::now();
+    latencies_.add(ended, ended - began);
+    co_return answer;
+}
+
 void serving_duty::begin_stop()
 {
     asio::post(
@@ -108,28 +123,64 @@
         [this]
         {
             counts_.leaving.store(true);
-            server_.stop();
+            places_.set_leaving();
+            stop_.begin(base::monotonic_clock::now(), longest_list_lifetime());
         });
 }
 
-// Publishes the figures and ends the thread once a planned stop has nothing
-// left to finish.
-void serving_duty::watch_for_end()
+// How long any list that named this entry may still be used.
+base::duration serving_duty::longest_list_lifetime() const
+{
+    base::duration longest{};
+    for (const auto& [key, record] : places_.in_force().by_key)
+    {
+        if (const auto* service = std::get_if<schema::service>(&record.body))
+        {
+            longest = std::max<base::duration>(longest, service->entries_ttl);
+        }
+    }
+    return longest;
+}
+
+void serving_duty::tick_later()
 {
-    auto timer = std::make_shared<asio::steady_timer>(context_);
-    timer->expires_after(figures_period);
-    timer->async_wait(
-        [this, timer](const boost::system::error_code&)
+    timer_.expires_after(tick_period);
+    timer_.async_wait(
+        [this](const boost::system::error_code& cancelled)
         {
-            counts_.connections.store(server_.connections());
-            counts_.running.store(server_.running());
-            if (counts_.leaving.load() && server_.running() == 0)
+            if (!cancelled)
             {
-                context_.stop();
-                return;
+                tick();
             }
-            watch_for_end();
         });
 }
 
+// Publishes the figures and takes the next step of a planned stop.
+void serving_duty::tick()
+{
+    const auto now = base::monotonic_clock::now();
+    counts_.connections.store(server_.connections());
+    counts_.running.store(server_.running());
+    counts_.request_latency.set(latencies_.summary(now));
+
+    const auto before = stop_.phase();
+    const auto phase = stop_.advance(now, server_.running());
+    if (phase != before && phase == stop_phase::finishing)
+    {
+        log_event(
+            log_level::info,
+            log_channel::daemon,
+            "no_new_connections",
+            "running",
+            server_.running());
+        server_.stop();
+    }
+    if (phase == stop_phase::ended)
+    {
+        context_.stop();
+        return;
+    }
+    tick_later();
+}
+
 } // namespace waxwingvalve::daemon
--- a/packages/daemon/serving_duty.hpp
+++ b/packages/daemon/serving_duty.hpp
@@ -2,15 +2,20 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <thread>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include "base/latency.hpp"
 #include "base/result.hpp"
 #include "daemon/duty_link.hpp"
 #include "daemon/figures.hpp"
 #include "daemon/serving/front.hpp"
 #include "daemon/serving/placement.hpp"
+#include "decision/drains/planned_stop.hpp"
 #include "decision/records/configuration.hpp"
 #include "net/http_server.hpp"
 #include "schema/settings.hpp"
@@ -35,8 +40,8 @@
     // Hands a newer configuration over; called by the records duty.
     bool offer(configuration_pointer next);
 
-    // A planned stop: takes no new connection, lets what runs end, then ends
-    // the thread. Returns at once.
+    // A planned stop (decision/drains/planned_stop.hpp), which ends the
+    // thread. Returns at once.
     void begin_stop();
 
     // Waits until the thread has ended.
@@ -44,11 +49,18 @@
 
 private:
     void adopt(configuration_pointer next);
-    void watch_for_end();
+    boost::asio::awaitable<std::optional<net::http_response>> serve(
+        net::http_request in);
+    base::duration longest_list_lifetime() const;
+    void tick_later();
+    void tick();
 
     boost::asio::io_context context_;
     const schema::daemon_settings& settings_;
     figures& counts_;
+    boost::asio::steady_timer timer_;
+    base::latency_window latencies_;
+    decision::drains::planned_stop stop_;
     serving::placement places_;
     serving::front front_;
     net::http_server server_;
