--- /dev/null
+++ b/packages/decision/filings/claim_row.cpp
@@ -0,0 +1,153 @@
+#include "decision/filings/claim_row.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/json.hpp>
+
+namespace waxwingvalve::decision::filings
+{
+namespace
+{
+
+namespace json = boost::json;
+using base::result_code;
+
+constexpr std::int64_t row_version = 1;
+
+struct state_name
+{
+    claim_state state{};
+    std::string_view name{};
+};
+
+constexpr auto state_names = std::to_array<state_name>(
+    {{claim_state::claimed, "claimed"},
+     {claim_state::done, "done"},
+     {claim_state::refused, "refused"},
+     {claim_state::unknown, "unknown"}});
+
+auto invalid(std::string_view field)
+{
+    return base::fail(
+        result_code::platform_answer_invalid,
+        "filing row: " + std::string{field});
+}
+
+std::optional<std::string> text_of(
+    const json::object& in, std::string_view name)
+{
+    const auto* value = in.if_contains(name);
+    if (value == nullptr || !value->is_string())
+    {
+        return std::nullopt;
+    }
+    return std::string{value->get_string()};
+}
+
+std::optional<std::int64_t> number_of(
+    const json::object& in, std::string_view name)
+{
+    const auto* value = in.if_contains(name);
+    if (value == nullptr || !value->is_int64())
+    {
+        return std::nullopt;
+    }
+    return value->get_int64();
+}
+
+std::optional<claim_state> state_of(const json::object& in)
+{
+    const auto name = text_of(in, "state");
+    const auto* found =
+        std::ranges::find(state_names, name.value_or(""), &state_name::name);
+    if (found == state_names.end())
+    {
+        return std::nullopt;
+    }
+    return found->state;
+}
+
+base::result<std::optional<claim_answer>> answer_of(const json::object& in)
+{
+    const auto* value = in.if_contains("answer");
+    if (value == nullptr)
+    {
+        return std::optional<claim_answer>{};
+    }
+    const auto* object = value->if_object();
+    if (object == nullptr)
+    {
+        return invalid("answer");
+    }
+    const auto status = number_of(*object, "status");
+    const auto type = text_of(*object, "content_type");
+    const auto body = text_of(*object, "body");
+    if (!status || !type || !body)
+    {
+        return invalid("answer");
+    }
+    return std::optional{
+        claim_answer{static_cast<unsigned>(*status), *type, *body}};
+}
+
+} // namespace
+
+bool fits_claim(std::string_view body)
+{
+    const auto plain = [](char c)
+    { return (c >= ' ' && c <= '~') || c == '\n' || c == '\r' || c == '\t'; };
+    return body.size() <= claim_body_bytes_limit &&
+           std::ranges::all_of(body, plain);
+}
+
+std::string to_json(const claim_row& row)
+{
+    const auto* name =
+        std::ranges::find(state_names, row.state, &state_name::state);
+    json::object out{
+        {"schema_version", row_version},
+        {"attempt", row.attempt},
+        {"digest", row.digest},
+        {"state", name->name}};
+    if (row.reason != 0)
+    {
+        out["reason"] = row.reason;
+    }
+    if (row.answer)
+    {
+        out["answer"] = {
+            {"status", row.answer->status},
+            {"content_type", row.answer->content_type},
+            {"body", row.answer->body}};
+    }
+    return json::serialize(out);
+}
+
+base::result<claim_row> parse_claim_row(std::string_view text)
+{
+    boost::system::error_code failure;
+    const auto parsed = json::parse(text, failure);
+    const auto* in = failure ? nullptr : parsed.if_object();
+    if (in == nullptr || number_of(*in, "schema_version") != row_version)
+    {
+        return invalid("schema_version");
+    }
+    const auto attempt = text_of(*in, "attempt");
+    const auto digest = text_of(*in, "digest");
+    const auto state = state_of(*in);
+    if (!attempt || !digest || !state)
+    {
+        return invalid("attempt, digest or state");
+    }
+    BOOST_OUTCOME_TRY(auto answer, answer_of(*in));
+    const auto reason = number_of(*in, "reason").value_or(0);
+    return claim_row{
+        *attempt,
+        *digest,
+        *state,
+        static_cast<std::uint16_t>(reason),
+        std::move(answer)};
+}
+
+} // namespace waxwingvalve::decision::filings
