--- /dev/null
+++ b/packages/decision/retries/latency_window.cpp
@@ -0,0 +1,126 @@
+#include "decision/retries/latency_window.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <numeric>
+#include <vector>
+
+namespace waxwingvalve::decision::retries
+{
+
+namespace
+{
+
+constexpr std::uint64_t percent_whole = 100;
+
+} // namespace
+
+std::size_t latency_window::bucket_of(base::duration took)
+{
+    const auto micros = static_cast<std::uint64_t>(std::max<std::int64_t>(
+        0,
+        std::chrono::duration_cast<std::chrono::microseconds>(took).count()));
+    if (micros < steps)
+    {
+        return micros;
+    }
+    const auto shift =
+        static_cast<std::uint32_t>(std::bit_width(micros)) - 1 - step_bits;
+    const auto step = (micros >> shift) - steps;
+    return std::min<std::size_t>(buckets - 1, (shift + 1) * steps + step);
+}
+
+base::duration latency_window::upper_bound_of(std::size_t bucket)
+{
+    if (bucket < steps)
+    {
+        return std::chrono::microseconds{bucket + 1};
+    }
+    const auto shift = bucket / steps - 1;
+    const std::uint64_t step = bucket % steps + steps;
+    return std::chrono::microseconds{(step + 1) << shift};
+}
+
+void latency_window::advance(base::instant now)
+{
+    if (now - begin_ < span)
+    {
+        return;
+    }
+    const bool next = now - begin_ < 2 * span;
+    before_ = next ? current_ : counts{};
+    current_ = {};
+    begin_ = now;
+}
+
+void latency_window::add(base::duration took, base::instant now)
+{
+    advance(now);
+    ++current_[bucket_of(took)];
+}
+
+std::optional<base::duration> latency_window::percentile(
+    std::uint32_t percent, base::instant now) const
+{
+    if (now - begin_ >= 2 * span)
+    {
+        return std::nullopt;
+    }
+    const auto sum = [](const counts& in)
+    { return std::accumulate(in.begin(), in.end(), std::uint64_t{0}); };
+    const auto total = sum(current_) + sum(before_);
+    if (total < least_samples)
+    {
+        return std::nullopt;
+    }
+    const auto wanted = (total * percent + percent_whole - 1) / percent_whole;
+    std::uint64_t seen{};
+    std::size_t at{};
+    for (; at + 1 < buckets; ++at)
+    {
+        seen += current_[at] + before_[at];
+        if (seen >= wanted && seen > 0)
+        {
+            break;
+        }
+    }
+    return upper_bound_of(at);
+}
+
+void service_latency::add(
+    std::string_view target, base::duration took, base::instant now)
+{
+    auto found = targets_.find(target);
+    if (found == targets_.end())
+    {
+        if (targets_.size() >= most_targets)
+        {
+            return;
+        }
+        found = targets_.emplace(target, latency_window{}).first;
+    }
+    found->second.add(took, now);
+}
+
+std::optional<base::duration> service_latency::typical(
+    std::uint32_t percent, base::instant now) const
+{
+    std::vector<base::duration> known;
+    for (const auto& [target, window] : targets_)
+    {
+        if (const auto one = window.percentile(percent, now))
+        {
+            known.push_back(*one);
+        }
+    }
+    if (known.empty())
+    {
+        return std::nullopt;
+    }
+    const auto middle =
+        known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 2);
+    std::ranges::nth_element(known, middle);
+    return *middle;
+}
+
+} // namespace waxwingvalve::decision::retries
