--- /dev/null
+++ b/packages/decision/limits/worker_limit.cpp
@@ -0,0 +1,104 @@
+#include "decision/limits/worker_limit.hpp"
+
+#include <algorithm>
+
+namespace waxwingvalve::decision::limits
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds first_pause{20};
+constexpr std::chrono::milliseconds longest_pause{500};
+// What a worker in doubt still gets, so that a wrong report cannot idle it
+// for ever and a good answer can clear it.
+constexpr std::uint32_t trial_requests = 1;
+
+std::uint8_t bit_of(drain_source source)
+{
+    return static_cast<std::uint8_t>(1U << static_cast<unsigned>(source));
+}
+
+} // namespace
+
+worker_limit::worker_limit(
+    std::uint32_t slots, base::instant now, base::duration longest_run)
+    : slots_{slots}, inherited_{slots},
+      inherited_until_{now + longest_run}, pause_{first_pause}
+{
+}
+
+std::uint32_t worker_limit::inherited(base::instant now) const
+{
+    return now < inherited_until_ ? std::min(inherited_, slots_) : 0;
+}
+
+std::uint32_t worker_limit::admitted(base::instant now) const
+{
+    if (draining() || now < closed_until_)
+    {
+        return 0;
+    }
+    const auto taken = inherited(now);
+    auto out = std::min(window_, slots_ - taken);
+    if (claimed_elsewhere_ > taken)
+    {
+        const auto left = slots_ - std::min(claimed_elsewhere_, slots_);
+        out = std::min(out, std::max(left, trial_requests));
+    }
+    return reachable_ ? out : std::min(out, trial_requests);
+}
+
+void worker_limit::set_draining(drain_source source, bool draining)
+{
+    const auto bit = bit_of(source);
+    drain_sources_ = static_cast<std::uint8_t>(
+        draining ? drain_sources_ | bit : drain_sources_ & ~bit);
+}
+
+void worker_limit::note_answer()
+{
+    pause_ = first_pause;
+    if (++answers_ < window_)
+    {
+        return;
+    }
+    answers_ = 0;
+    window_ = std::min(window_ + 1, slots_);
+}
+
+void worker_limit::note_refusal(base::instant now)
+{
+    // Several refusals of one moment are one event.
+    if (now < closed_until_)
+    {
+        return;
+    }
+    answers_ = 0;
+    window_ = std::max(window_ / 2, trial_requests);
+    closed_until_ = now + pause_;
+    pause_ = std::min<base::duration>(pause_ * 2, longest_pause);
+}
+
+void worker_limit::note_report(
+    const health_report& report, std::uint32_t own_highest)
+{
+    reachable_ = true;
+    set_draining(drain_source::health, report.draining);
+    if (boot_ != 0 && report.boot != boot_)
+    {
+        start_slowly();
+    }
+    boot_ = report.boot;
+    claimed_elsewhere_ =
+        report.running > own_highest ? report.running - own_highest : 0;
+    // Requests of an earlier owner only end; none is added.
+    inherited_ = std::min(inherited_, claimed_elsewhere_);
+}
+
+void worker_limit::start_slowly()
+{
+    window_ = trial_requests;
+    answers_ = 0;
+}
+
+} // namespace waxwingvalve::decision::limits
