Records: an accept is one transaction that a lost answer cannot hide

Cause: an accept, review or proposal whose answer was lost ended with an unknown outcome; an accept against an older version of the same record overwrote the newer one; a service could name a zone that no deployment declares.

An accept compares the head, the proposal, the record's row and the absence of the log row of the new revision, and writes all four. When an answer is lost the same transaction is sent again: its conditions let it take effect once, and the proposal's row then tells by the operation id whether it did. Reading back alone was ruled out: a write still on its way could take effect after the read.

Not settled here: a client that ends with outcome unknown after four tries says so, and the same command given again tells what became of it.

--- a/packages/cli/main.cpp
+++ b/packages/cli/main.cpp
@@ -91,7 +91,22 @@
 {
     platform::http_table_service table{
         settings.platform.table, platform_timeout};
-    cli::record_commands commands{table, settings.operator_name};
+    cli::operator_identity who{.name = settings.operator_name};
+    if (!settings.key_file.empty())
+    {
+        const auto text = schema::read_file(settings.key_file);
+        if (!text)
+        {
+            return report(text.error());
+        }
+        auto keys = decision::records::parse_operator_keys(text.value());
+        if (!keys)
+        {
+            return report(keys.error());
+        }
+        who.keys = std::move(keys).value();
+    }
+    cli::record_commands commands{table, std::move(who)};
     const auto& operand = given.operands.front();
     if (given.command == "propose")
     {
--- a/packages/daemon/records_duty.cpp
+++ b/packages/daemon/records_duty.cpp
@@ -100,12 +100,15 @@
     {
         co_return;
     }
-    std::vector<stored_record> stored;
+    std::vector<accepted_change> changes;
     for (const auto& row : rows.value())
     {
-        stored.push_back({row.key, row.value});
+        if (auto change = parse_change(row.value))
+        {
+            changes.push_back(std::move(change).value());
+        }
     }
-    auto loaded = load_configuration(at, stored);
+    auto loaded = load_configuration(at, changes, {});
     for (const auto& [key, reason] : loaded.unreadable)
     {
         log_event(
--- a/packages/decision/records/configuration.cpp
+++ b/packages/decision/records/configuration.cpp
@@ -50,24 +50,49 @@
     return nullptr;
 }
 
-loaded_configuration load_configuration(
-    revision at, std::span<const stored_record> rows)
+loaded_configuration apply_changes(
+    configuration before, revision at, std::span<const accepted_change> changes)
 {
-    loaded_configuration out;
+    loaded_configuration out{.value = std::move(before)};
     out.value.revision = at;
-    for (const auto& row : rows)
+    for (const auto& change : changes)
     {
-        auto parsed = schema::parse_record(row.json);
+        auto parsed = schema::parse_record(change.record_json);
         if (!parsed)
         {
-            out.unreadable.push_back({row.key, parsed.error()});
+            out.unreadable.push_back({change.key, parsed.error()});
             continue;
         }
+        out.value.changes.insert_or_assign(change.key, change);
         if (std::visit(retired_of{}, parsed.value().body))
         {
+            out.value.by_key.erase(change.key);
             continue;
         }
-        out.value.by_key.emplace(row.key, std::move(parsed).value());
+        out.value.by_key.insert_or_assign(
+            change.key, std::move(parsed).value());
+    }
+    return out;
+}
+
+loaded_configuration load_configuration(
+    revision at,
+    std::span<const accepted_change> changes,
+    const configuration& before)
+{
+    auto out = apply_changes({}, at, changes);
+    for (const auto& [key, reason] : out.unreadable)
+    {
+        if (const auto good = before.by_key.find(key);
+            good != before.by_key.end())
+        {
+            out.value.by_key.insert(*good);
+        }
+        if (const auto good = before.changes.find(key);
+            good != before.changes.end())
+        {
+            out.value.changes.insert(*good);
+        }
     }
     return out;
 }
--- a/packages/decision/records/configuration.hpp
+++ b/packages/decision/records/configuration.hpp
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "base/result.hpp"
+#include "decision/records/accepted_change.hpp"
 #include "schema/records.hpp"
 
 namespace waxwingvalve::decision::records
@@ -26,6 +27,9 @@
 {
     records::revision revision{};
     std::map<std::string, schema::record, std::less<>> by_key{};
+    // What each record in force came from, retired ones included; this is
+    // what a daemon hands to a peer.
+    std::map<std::string, accepted_change, std::less<>> changes{};
 
     const schema::service* find_service(std::string_view name) const;
     // The first deployment record; nothing before one is accepted.
@@ -35,13 +39,6 @@
 // "service/seam-registry".
 std::string record_key(std::string_view kind, std::string_view name);
 
-// One accepted record as the store or a peer hands it over.
-struct stored_record
-{
-    std::string key{};
-    std::string json{};
-};
-
 // A record that could not be read; the others of the same set stay valid.
 struct unreadable_record
 {
@@ -55,8 +52,17 @@
     std::vector<unreadable_record> unreadable{};
 };
 
-// Reads all accepted records of one revision.
+// Reads all accepted changes of one revision. Where one cannot be read, the
+// record of that key in `before` stays in force.
 loaded_configuration load_configuration(
-    revision at, std::span<const stored_record> rows);
+    records::revision at,
+    std::span<const accepted_change> changes,
+    const configuration& before);
+
+// `before` with one accepted change more; takes no heed of revisions.
+loaded_configuration apply_changes(
+    configuration before,
+    records::revision at,
+    std::span<const accepted_change> changes);
 
 } // namespace waxwingvalve::decision::records
--- /dev/null
+++ b/packages/decision/records/operator_keys.cpp
@@ -0,0 +1,176 @@
+#include "decision/records/operator_keys.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include <boost/algorithm/hex.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace waxwingvalve::decision::records
+{
+namespace
+{
+
+namespace json = boost::json;
+using base::fail;
+using base::result;
+using base::result_code;
+
+constexpr std::size_t shortest_secret_bytes = 16;
+
+// Each field with its length before it, so that no two different rows have
+// the same content.
+std::string content_of(const proposal& subject, const step& done)
+{
+    const auto revision =
+        done.action == "accept" ? std::to_string(subject.accepted_as) : "";
+    const std::array<std::string_view, 7> fields{
+        done.action,
+        done.by,
+        done.operation_id,
+        subject.id,
+        subject.record_key,
+        revision,
+        subject.record_json};
+    std::string out;
+    for (const auto field : fields)
+    {
+        out += fmt::format("{}:{};", field.size(), field);
+    }
+    return out;
+}
+
+std::string hmac_sha256(std::string_view secret, const std::string& content)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> code{};
+    unsigned int size = 0;
+    HMAC(
+        EVP_sha256(),
+        secret.data(),
+        static_cast<int>(secret.size()),
+        reinterpret_cast<const unsigned char*>(content.data()),
+        content.size(),
+        code.data(),
+        &size);
+    std::string out;
+    boost::algorithm::hex_lower(
+        code.begin(), code.begin() + size, std::back_inserter(out));
+    return out;
+}
+
+bool same_code(const std::string& left, const std::string& right)
+{
+    return left.size() == right.size() &&
+           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+bool done_by(
+    const std::vector<step>& steps,
+    std::string_view action,
+    std::string_view by)
+{
+    return std::ranges::any_of(
+        steps,
+        [&](const step& one) { return one.action == action && one.by == by; });
+}
+
+} // namespace
+
+result<operator_keys> parse_operator_keys(std::string_view text)
+{
+    boost::system::error_code failure;
+    const auto parsed = json::parse(text, failure);
+    if (failure || !parsed.is_object())
+    {
+        return fail(
+            result_code::settings_malformed,
+            "keys file: expected a JSON object of operators and secrets");
+    }
+    operator_keys out;
+    for (const auto& [name, value] : parsed.get_object())
+    {
+        std::string secret;
+        try
+        {
+            const auto* digits = value.if_string();
+            boost::algorithm::unhex(
+                digits != nullptr ? std::string{*digits} : "",
+                std::back_inserter(secret));
+        }
+        catch (const boost::algorithm::hex_decode_error&)
+        {
+            secret.clear();
+        }
+        if (secret.size() < shortest_secret_bytes)
+        {
+            return fail(
+                result_code::settings_invalid,
+                fmt::format(
+                    "keys file: {}: expected {} bytes or more in hexadecimal",
+                    std::string_view{name},
+                    shortest_secret_bytes));
+        }
+        out.secrets.emplace(name, std::move(secret));
+    }
+    return out;
+}
+
+result<std::string> sign(
+    const operator_keys& keys, const proposal& subject, const step& done)
+{
+    const auto found = keys.secrets.find(done.by);
+    if (found == keys.secrets.end())
+    {
+        return fail(result_code::operator_unknown, done.by);
+    }
+    return hmac_sha256(found->second, content_of(subject, done));
+}
+
+result<void> verify(const operator_keys& keys, const proposal& subject)
+{
+    for (const auto& done : subject.steps)
+    {
+        BOOST_OUTCOME_TRY(const auto wanted, sign(keys, subject, done));
+        if (!same_code(wanted, done.signature))
+        {
+            return fail(
+                result_code::signature_invalid,
+                fmt::format("{}: {} by {}", subject.id, done.action, done.by));
+        }
+    }
+    if (!done_by(subject.steps, "propose", subject.author))
+    {
+        return fail(
+            result_code::signature_invalid, subject.id + ": no author signed");
+    }
+    return base::success();
+}
+
+result<void> verify(const operator_keys& keys, const accepted_change& change)
+{
+    const proposal subject{
+        .id = change.proposal_id,
+        .author = change.author,
+        .record_key = change.key,
+        .accepted_as = change.revision,
+        .record_json = change.record_json,
+        .steps = change.steps};
+    BOOST_OUTCOME_TRY(verify(keys, subject));
+    if (change.author == change.reviewer ||
+        !done_by(change.steps, "review", change.reviewer) ||
+        !done_by(change.steps, "accept", change.closer))
+    {
+        return fail(
+            result_code::signature_invalid,
+            change.proposal_id + ": not reviewed and accepted by operators");
+    }
+    return base::success();
+}
+
+} // namespace waxwingvalve::decision::records
--- a/packages/decision/records/proposal.cpp
+++ b/packages/decision/records/proposal.cpp
@@ -31,22 +31,6 @@
             one.closer);
 }
 
-std::string text_at(const json::object& in, std::string_view key)
-{
-    const auto* value = in.if_contains(key);
-    return value != nullptr && value->is_string()
-               ? std::string{value->get_string()}
-               : std::string{};
-}
-
-revision revision_at(const json::object& in, std::string_view key)
-{
-    const auto* value = in.if_contains(key);
-    return value != nullptr && value->is_int64()
-               ? static_cast<revision>(value->get_int64())
-               : revision{0};
-}
-
 } // namespace
 
 std::string_view to_string(proposal_state state)
@@ -98,6 +82,13 @@
     return from;
 }
 
+bool has_operation(const proposal& one, std::string_view operation_id)
+{
+    return std::ranges::any_of(
+        one.steps,
+        [&](const step& done) { return done.operation_id == operation_id; });
+}
+
 std::string to_json(const proposal& from)
 {
     return json::serialize(json::object{
@@ -108,7 +99,10 @@
         {"state", to_string(from.state)},
         {"based_on", from.based_on},
         {"accepted_as", from.accepted_as},
-        {"record", from.record_json}});
+        {"key", from.record_key},
+        {"based_on_record", from.based_on_record},
+        {"record", from.record_json},
+        {"steps", to_json_array(from.steps)}});
 }
 
 base::result<proposal> parse_proposal(std::string_view text)
@@ -131,9 +125,12 @@
         .reviewer = text_at(in, "reviewer"),
         .closer = text_at(in, "closer"),
         .state = static_cast<proposal_state>(state - state_names.begin()),
-        .based_on = revision_at(in, "based_on"),
-        .accepted_as = revision_at(in, "accepted_as"),
-        .record_json = text_at(in, "record")};
+        .based_on = number_at(in, "based_on"),
+        .record_key = text_at(in, "key"),
+        .based_on_record = number_at(in, "based_on_record"),
+        .accepted_as = number_at(in, "accepted_as"),
+        .record_json = text_at(in, "record"),
+        .steps = parse_steps(in)};
 }
 
 } // namespace waxwingvalve::decision::records
--- a/packages/decision/records/proposal.hpp
+++ b/packages/decision/records/proposal.hpp
@@ -7,9 +7,11 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/result.hpp"
 #include "decision/records/configuration.hpp"
+#include "decision/records/step.hpp"
 
 namespace waxwingvalve::decision::records
 {
@@ -33,10 +35,16 @@
     proposal_state state{proposal_state::open};
     // Revision in force when it was proposed.
     revision based_on{};
+    // "kind/name" of the record.
+    std::string record_key{};
+    // Version of the record's row when it was proposed; 0 when there was none.
+    std::uint64_t based_on_record{};
     // Revision that accepting it made; 0 before.
     revision accepted_as{};
     // The record's text as the author wrote it.
     std::string record_json{};
+    // What was done to it, oldest first; none is ever taken out.
+    std::vector<step> steps{};
 };
 
 // Errors: proposal_closed; author_cannot_accept when the author reviews.
@@ -49,6 +57,10 @@
 // Errors: proposal_closed.
 base::result<proposal> reject(proposal from, std::string_view by);
 
+// True when the step with this operation id is part of the proposal; settles
+// a write whose answer was lost.
+bool has_operation(const proposal& one, std::string_view operation_id);
+
 std::string to_json(const proposal& from);
 
 // Errors: platform_answer_invalid.
--- /dev/null
+++ b/tests/cli/record_commands_test.cpp
@@ -0,0 +1,193 @@
+#include <boost/test/unit_test.hpp>
+
+#include "cli/record_commands.hpp"
+#include "fakes/memory_table.hpp"
+#include "net/run_blocking.hpp"
+
+using namespace waxwingvalve;
+using base::result_code;
+using decision::records::proposal;
+using decision::records::proposal_state;
+
+namespace
+{
+
+using commands = cli::record_commands<fakes::memory_table>;
+
+std::string zones(const std::string& name)
+{
+    return R"({"kind": "deployment", "schema_version": 1, "name": ")" + name +
+           R"(", "regions": [{"name": ")" + name +
+           R"(", "zones": [{"name": ")" + name + R"(-a"}]}]})";
+}
+
+std::string service(const std::string& zone, int slots)
+{
+    return fmt::format(
+        R"({{"kind": "service", "schema_version": 2, "name": "hire-desk",
+        "workers": [{{"address": "127.1.1.1:9000", "zone": "{}",
+        "slots": {}}}]}})",
+        zone,
+        slots);
+}
+
+struct two_partners
+{
+    template <class Work>
+    static base::result<proposal> run(Work work)
+    {
+        return net::run_blocking(std::move(work));
+    }
+
+    std::string propose_reviewed(const std::string& json)
+    {
+        const auto id = run(selam.propose(json)).value().id;
+        BOOST_REQUIRE(run(dawit.review(id)).has_value());
+        return id;
+    }
+
+    void accept_zones()
+    {
+        const auto id = propose_reviewed(zones("isan"));
+        BOOST_REQUIRE(run(dawit.accept(id)).has_value());
+    }
+
+    fakes::memory_table table;
+    decision::records::operator_keys keys{
+        {{"selam", "0123456789abcdef"}, {"dawit", "fedcba9876543210"}}};
+    commands selam{table, {"selam", keys}};
+    commands dawit{table, {"dawit", keys}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(record_commands, two_partners)
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_of_an_accept_is_settled_as_accepted)
+{
+    const auto id = propose_reviewed(zones("isan"));
+    table.lose_answers = 1;
+    const auto done = run(dawit.accept(id));
+    BOOST_REQUIRE(done.has_value());
+    BOOST_TEST(done.value().accepted_as == 1U);
+    // Given again it tells the same and makes no further revision.
+    BOOST_TEST(run(dawit.accept(id)).value().accepted_as == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_request_is_sent_again_and_takes_effect_once)
+{
+    const auto id = propose_reviewed(zones("isan"));
+    table.lose_requests = 2;
+    BOOST_TEST(run(dawit.accept(id)).value().accepted_as == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lost_answers_of_propose_review_and_reject_are_settled)
+{
+    table.lose_answers = 1;
+    const auto proposed = run(selam.propose(zones("isan")));
+    BOOST_REQUIRE(proposed.has_value());
+    table.lose_answers = 1;
+    const auto reviewed = run(dawit.review(proposed.value().id));
+    BOOST_TEST((reviewed.value().state == proposal_state::reviewed));
+    table.lose_answers = 1;
+    const auto rejected = run(dawit.reject(proposed.value().id));
+    BOOST_TEST((rejected.value().state == proposal_state::rejected));
+}
+
+BOOST_AUTO_TEST_CASE(answers_lost_for_good_are_reported_as_unknown)
+{
+    const auto id = propose_reviewed(zones("isan"));
+    table.lose_requests = 100;
+    const auto done = run(dawit.accept(id));
+    BOOST_TEST((done.error().code == result_code::platform_outcome_unknown));
+    table.lose_requests = 0;
+    BOOST_TEST(run(dawit.accept(id)).value().accepted_as == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_is_down_leaves_nothing_half_done)
+{
+    const auto id = propose_reviewed(zones("isan"));
+    table.down = true;
+    const auto refused = run(dawit.accept(id));
+    BOOST_TEST((refused.error().code == result_code::platform_unreachable));
+    table.down = false;
+    BOOST_TEST(run(dawit.accept(id)).value().accepted_as == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(of_two_partners_who_race_one_wins_and_one_is_told)
+{
+    accept_zones();
+    const auto first = propose_reviewed(service("isan-a", 6));
+    const auto second = propose_reviewed(service("isan-a", 5));
+    table.before_commit = [&]
+    { BOOST_TEST(run(selam.accept(first)).has_value()); };
+    const auto lost = run(dawit.accept(second));
+    BOOST_REQUIRE(!lost.has_value());
+    BOOST_TEST((lost.error().code == result_code::accept_lost_race));
+    BOOST_TEST_CONTEXT(lost.error().detail)
+    {
+        BOOST_TEST(
+            lost.error().detail.find(first + " by selam as revision 2") !=
+            std::string::npos);
+    }
+    const auto later = run(dawit.accept(second));
+    BOOST_TEST((later.error().code == result_code::proposal_outdated));
+}
+
+BOOST_AUTO_TEST_CASE(a_race_of_different_records_makes_two_revisions)
+{
+    accept_zones();
+    const auto first = propose_reviewed(service("isan-a", 6));
+    const auto second = propose_reviewed(zones("lanna"));
+    table.before_commit = [&]
+    { BOOST_TEST(run(selam.accept(first)).has_value()); };
+    BOOST_TEST(run(dawit.accept(second)).value().accepted_as == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(the_author_alone_cannot_accept)
+{
+    const auto id = run(selam.propose(zones("isan"))).value().id;
+    const auto accepted = run(selam.accept(id));
+    BOOST_TEST((accepted.error().code == result_code::review_missing));
+    const auto reviewed = run(selam.review(id));
+    BOOST_TEST((reviewed.error().code == result_code::author_cannot_accept));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_does_not_fit_the_others_is_refused)
+{
+    accept_zones();
+    const auto stray = run(selam.propose(service("lanna-a", 6)));
+    BOOST_TEST((stray.error().code == result_code::record_invalid));
+    const auto shift = run(selam.propose(
+        R"({"kind": "shift", "schema_version": 1, "name": "s", "service":
+        "herdbook", "from_zone": "isan-a", "to_zone": "isan-a",
+        "percent": 10})"));
+    BOOST_TEST((shift.error().code == result_code::record_invalid));
+}
+
+BOOST_AUTO_TEST_CASE(a_forged_or_changed_row_is_refused)
+{
+    const auto id = run(selam.propose(zones("isan"))).value().id;
+    auto changed = net::run_blocking(dawit.load(id)).value().value;
+    changed.record_json = zones("lanna");
+    platform::transaction forgery;
+    forgery.writes.push_back(cli::write_row(
+        decision::records::proposals_table, id, to_json(changed)));
+    BOOST_REQUIRE(net::run_blocking(table.commit(forgery)).has_value());
+    const auto reviewed = run(dawit.review(id));
+    BOOST_TEST((reviewed.error().code == result_code::signature_invalid));
+}
+
+BOOST_AUTO_TEST_CASE(an_accepted_change_carries_signatures_of_both)
+{
+    const auto id = propose_reviewed(zones("isan"));
+    const auto accepted = run(dawit.accept(id)).value();
+    auto change = decision::records::to_change(accepted);
+    BOOST_TEST(decision::records::verify(keys, change).has_value());
+    ++change.revision;
+    BOOST_TEST(
+        (decision::records::verify(keys, change).error().code ==
+         result_code::signature_invalid));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
