--- a/packages/base/latency.cpp
+++ b/packages/base/latency.cpp
@@ -1,5 +1,10 @@
 #include "base/latency.hpp"
 
+// Boost.Accumulators copies a member of its quantile that it sets only later.
+#if !defined(__clang__)
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
+
 #include <array>
 #include <optional>
 
