--- a/packages/cli/record_commands.hpp
+++ b/packages/cli/record_commands.hpp
@@ -205,6 +205,17 @@
         co_return found;
     }
 
+    // Errors: operator_unknown, signature_invalid.
+    base::result<void> check(
+        const decision::records::accepted_change& change) const
+    {
+        if (!who_.keys)
+        {
+            return base::success();
+        }
+        return decision::records::verify(*who_.keys, change);
+    }
+
     record_store<Table>& store() { return store_; }
 
 private:
--- /dev/null
+++ b/packages/cli/run_command.hpp
@@ -0,0 +1,113 @@
+// Runs one command of the table against a table service.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "cli/command_line.hpp"
+#include "cli/record_commands.hpp"
+#include "cli/steering_records.hpp"
+#include "cli/view_commands.hpp"
+#include "net/run_blocking.hpp"
+#include "schema/settings.hpp"
+
+namespace waxwingvalve::cli
+{
+
+inline command_result to_output(
+    const base::result<decision::records::proposal>& done)
+{
+    if (!done)
+    {
+        return boost::outcome_v2::failure(done.error());
+    }
+    return describe(done.value());
+}
+
+// Proposes to retire a shift or drain that is in force.
+template <platform::table_service Table>
+command_result retire(
+    record_commands<Table>& commands,
+    const std::string& kind,
+    const std::string& name)
+{
+    using decision::records::record_key;
+    const auto all = net::run_blocking(commands.store().load_in_force());
+    if (!all)
+    {
+        return boost::outcome_v2::failure(all.error());
+    }
+    const auto key = record_key(kind, name);
+    const auto& changes = all.value().value.changes;
+    const auto found = changes.find(key);
+    if (found == changes.end())
+    {
+        return base::fail(base::result_code::revision_missing, key);
+    }
+    BOOST_OUTCOME_TRY(auto text, retired_record(found->second.record_json));
+    return to_output(net::run_blocking(commands.propose(std::move(text))));
+}
+
+template <platform::table_service Table>
+command_result propose_text(
+    record_commands<Table>& commands, base::result<std::string> text)
+{
+    if (!text)
+    {
+        return boost::outcome_v2::failure(text.error());
+    }
+    return to_output(
+        net::run_blocking(commands.propose(std::move(text).value())));
+}
+
+// Errors: those of the command; command_line_invalid for one that needs no
+// table service.
+template <platform::table_service Table>
+command_result run_command(
+    const arguments& given, record_commands<Table>& commands)
+{
+    const auto operand = given.operands.empty() ? "" : given.operands.front();
+    if (given.command == "propose")
+    {
+        return propose_text(commands, schema::read_file(operand));
+    }
+    if (given.command == "review")
+    {
+        return to_output(net::run_blocking(commands.review(operand)));
+    }
+    if (given.command == "accept")
+    {
+        return to_output(net::run_blocking(commands.accept(operand)));
+    }
+    if (given.command == "reject")
+    {
+        return to_output(net::run_blocking(commands.reject(operand)));
+    }
+    if (given.command == "show")
+    {
+        return net::run_blocking(show(commands, operand));
+    }
+    if (given.command == "diff")
+    {
+        return net::run_blocking(diff(commands, operand));
+    }
+    if (given.command == "history")
+    {
+        return net::run_blocking(history(commands));
+    }
+    if (operand == "retire" && given.operands.size() == 2)
+    {
+        return retire(commands, given.command, given.operands.back());
+    }
+    if (given.command == "shift")
+    {
+        return propose_text(commands, shift_record(given.operands));
+    }
+    if (given.command == "drain")
+    {
+        return propose_text(commands, drain_record(given.operands));
+    }
+    return base::fail(base::result_code::command_line_invalid, given.command);
+}
+
+} // namespace waxwingvalve::cli
--- a/packages/cli/status_command.cpp
+++ b/packages/cli/status_command.cpp
@@ -14,20 +14,28 @@
 
 constexpr std::chrono::seconds status_timeout{1};
 
-std::string one_status(const base::endpoint& daemon)
+struct daemon_status
+{
+    std::string text{};
+    boost::json::object value{};
+};
+
+daemon_status one_status(const base::endpoint& daemon)
 {
     const auto answer = net::fetch_blocking(
         daemon, {.method = "GET", .target = "/v1/status"}, status_timeout);
     if (!answer)
     {
-        return "unreachable " + to_string(answer.error().reason);
+        return {
+            "unreachable " + to_string(answer.error().reason),
+            {{"unreachable", to_string(answer.error().reason)}}};
     }
     boost::system::error_code failure;
     const auto parsed = boost::json::parse(answer.value().body, failure);
     const auto* status = parsed.if_object();
     if (failure || status == nullptr)
     {
-        return "unreadable";
+        return {"unreadable", {{"unreadable", true}}};
     }
     std::string out;
     for (const auto& [key, value] : *status)
@@ -38,18 +46,23 @@
             std::string_view{key},
             boost::json::serialize(value));
     }
-    return out;
+    return {out, *status};
 }
 
 } // namespace
 
-std::string all_statuses(std::span<const base::endpoint> daemons)
+command_output all_statuses(std::span<const base::endpoint> daemons)
 {
-    std::string out;
+    command_output out;
+    boost::json::array list;
     for (const auto& daemon : daemons)
     {
-        out += fmt::format("{} {}\n", to_string(daemon), one_status(daemon));
+        auto one = one_status(daemon);
+        out.text += fmt::format("{} {}\n", to_string(daemon), one.text);
+        one.value["asked"] = to_string(daemon);
+        list.push_back(std::move(one.value));
     }
+    out.json = std::move(list);
     return out;
 }
 
--- a/packages/cli/status_command.hpp
+++ b/packages/cli/status_command.hpp
@@ -5,12 +5,13 @@
 #include <string>
 
 #include "base/endpoint.hpp"
+#include "cli/output.hpp"
 
 namespace waxwingvalve::cli
 {
 
 // One line per daemon, in the given order; one that does not answer within a
 // second is shown as unreachable.
-std::string all_statuses(std::span<const base::endpoint> daemons);
+command_output all_statuses(std::span<const base::endpoint> daemons);
 
 } // namespace waxwingvalve::cli
--- /dev/null
+++ b/packages/cli/steering_records.cpp
@@ -0,0 +1,89 @@
+#include "cli/steering_records.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <vector>
+
+#include <boost/algorithm/string/split.hpp>
+#include <boost/json.hpp>
+
+namespace waxwingvalve::cli
+{
+namespace
+{
+
+namespace json = boost::json;
+using base::fail;
+using base::result_code;
+
+json::array split_names(const std::string& text)
+{
+    std::vector<std::string> names;
+    boost::algorithm::split(names, text, [](char c) { return c == ','; });
+    json::array out;
+    for (const auto& name : names)
+    {
+        out.emplace_back(name);
+    }
+    return out;
+}
+
+} // namespace
+
+base::result<std::string> shift_record(std::span<const std::string> operands)
+{
+    constexpr std::size_t wanted = 4;
+    std::uint32_t percent{};
+    const auto& last = operands.empty() ? "" : operands.back();
+    const auto [end, failure] =
+        std::from_chars(last.data(), last.data() + last.size(), percent);
+    if (operands.size() != wanted || failure != std::errc{} ||
+        end != last.data() + last.size())
+    {
+        return fail(
+            result_code::command_line_invalid,
+            "expected SERVICE FROM[,FROM] TO[,TO] PERCENT, or retire NAME");
+    }
+    return json::serialize(json::object{
+        {"kind", "shift"},
+        {"schema_version", 2},
+        {"name", operands[0]},
+        {"service", operands[0]},
+        {"from_zones", split_names(operands[1])},
+        {"to_zones", split_names(operands[2])},
+        {"percent", percent}});
+}
+
+base::result<std::string> drain_record(std::span<const std::string> operands)
+{
+    constexpr std::array<std::string_view, 3> kinds{"worker", "entry", "zone"};
+    if (operands.size() != 2 ||
+        std::ranges::find(kinds, operands[0]) == kinds.end())
+    {
+        return fail(
+            result_code::command_line_invalid,
+            "expected worker|entry|zone TARGET, or retire NAME");
+    }
+    return json::serialize(json::object{
+        {"kind", "drain"},
+        {"schema_version", 1},
+        {"name", operands[0] + "-" + operands[1]},
+        {"target_kind", operands[0]},
+        {"target", operands[1]}});
+}
+
+base::result<std::string> retired_record(std::string_view text)
+{
+    boost::system::error_code failure;
+    auto parsed = json::parse(text, failure);
+    if (failure || !parsed.is_object())
+    {
+        return fail(result_code::record_malformed, "expected a JSON object");
+    }
+    parsed.get_object()["retired"] = true;
+    return json::serialize(parsed);
+}
+
+} // namespace waxwingvalve::cli
--- /dev/null
+++ b/packages/cli/view_commands.hpp
@@ -0,0 +1,107 @@
+// The commands that only read: show, diff and history.
+#pragma once
+
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "cli/output.hpp"
+#include "cli/record_commands.hpp"
+
+namespace waxwingvalve::cli
+{
+
+// Two record texts side by side, member by member: lines that start with
+// "- " for what is in force and "+ " for what is proposed. Members that are
+// the same on both sides are left out.
+std::string diff_records(std::string_view in_force, std::string_view proposed);
+
+// `KIND/NAME` as it is in force. Errors: revision_missing.
+template <platform::table_service Table>
+boost::asio::awaitable<command_result> show(
+    record_commands<Table>& commands, std::string key)
+{
+    const auto all = co_await commands.store().load_in_force();
+    if (!all)
+    {
+        co_return boost::outcome_v2::failure(all.error());
+    }
+    const auto& changes = all.value().value.changes;
+    const auto found = changes.find(key);
+    if (found == changes.end())
+    {
+        co_return base::fail(
+            base::result_code::revision_missing,
+            fmt::format(
+                "no record {} was accepted; expected KIND/NAME, as `service/"
+                "hire-desk`",
+                key));
+    }
+    auto out = describe(found->second);
+    out.text += found->second.record_json + '\n';
+    out.json.as_object()["content"] =
+        boost::json::parse(found->second.record_json);
+    co_return out;
+}
+
+// What accepting the proposal would change.
+template <platform::table_service Table>
+boost::asio::awaitable<command_result> diff(
+    record_commands<Table>& commands, std::string id)
+{
+    const auto found = co_await commands.load(std::move(id));
+    if (!found)
+    {
+        co_return boost::outcome_v2::failure(found.error());
+    }
+    const auto all = co_await commands.store().load_in_force();
+    if (!all)
+    {
+        co_return boost::outcome_v2::failure(all.error());
+    }
+    const auto& one = found.value().value;
+    const auto& changes = all.value().value.changes;
+    const auto before = changes.find(one.record_key);
+    const auto lines = diff_records(
+        before == changes.end() ? "{}" : before->second.record_json,
+        one.record_json);
+    auto out = describe(one);
+    out.text += one.record_key + '\n' + lines;
+    out.json.as_object()["diff"] = lines;
+    co_return out;
+}
+
+// Every accepted change, oldest first.
+template <platform::table_service Table>
+boost::asio::awaitable<command_result> history(record_commands<Table>& commands)
+{
+    const auto rows = co_await commands.store().table().scan(
+        decision::records::log_table, "");
+    if (!rows)
+    {
+        co_return boost::outcome_v2::failure(rows.error());
+    }
+    command_output out;
+    boost::json::array list;
+    for (const auto& row : rows.value())
+    {
+        const auto change = decision::records::parse_change(row.value);
+        if (!change)
+        {
+            co_return boost::outcome_v2::failure(change.error());
+        }
+        if (auto checked = commands.check(change.value()); !checked)
+        {
+            co_return boost::outcome_v2::failure(checked.error());
+        }
+        auto line = describe(change.value());
+        out.text += line.text;
+        list.push_back(std::move(line.json));
+    }
+    out.json = std::move(list);
+    co_return out;
+}
+
+} // namespace waxwingvalve::cli
--- a/tests/cli/record_commands_test.cpp
+++ b/tests/cli/record_commands_test.cpp
@@ -41,7 +41,7 @@
 
     std::string propose_reviewed(const std::string& json)
     {
-        const auto id = run(selam.propose(json)).value().id;
+        auto id = run(selam.propose(json)).value().id;
         BOOST_REQUIRE(run(dawit.review(id)).has_value());
         return id;
     }
--- a/tests/fakes/memory_table.hpp
+++ b/tests/fakes/memory_table.hpp
@@ -103,8 +103,7 @@
                                  : found->second.version;
             if (now != version)
             {
-                return base::fail(
-                    base::result_code::platform_conflict, table + "/" + key);
+                return base::fail(base::result_code::platform_conflict, key);
             }
         }
         for (const auto& [table, key, value] : change.writes)
