Membership, ownership: SWIM and claims as pure state machines

Section by section: membership probes one member of the zone and one long-range peer a period, gossips bounded reports, and calls nobody dead by silence. Ownership is mutual exclusion after Ricart and Agrawala, with proof (a refused connection, or off the VM list and silent for a tenure) in the place of a missing answer.

Cause: until now rendezvous hashing over the settings decided alone, so a worker of a killed daemon had no owner and two daemons with different peers in their settings could both own one.

Shown failing: with silence taken for proof (proof_rule::silence of the model) every zone of two to eight daemons gets two dispatching owners; that stays as a test. Now an unlisted member is granted nothing, and the tenure counts from both its silence and its absence from the list; the model says what it takes for granted of an unlisted VM (it is stopped within a tenure unless frozen).

--- /dev/null
+++ b/packages/decision/membership/swim.cpp
@@ -0,0 +1,448 @@
+#include "decision/membership/swim.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include <xxhash.h>
+
+namespace waxwingvalve::decision::membership
+{
+
+using schema::message_kind;
+using schema::peer_message;
+
+namespace
+{
+
+// Messages that carry a change before anything else.
+constexpr int urgent_sends = 8;
+
+bool newer(const member_report& left, const member_report& right)
+{
+    return std::tie(left.incarnation, left.version) >
+           std::tie(right.incarnation, right.version);
+}
+
+} // namespace
+
+swim::swim(member_report self, swim_options options, std::uint64_t seed)
+    : self_{std::move(self)}, options_{options}, random_{seed}
+{
+}
+
+void swim::add_seed(member_report seed)
+{
+    if (seed.name == self_.name)
+    {
+        return;
+    }
+    seed.incarnation = 0;
+    auto& one = members_[seed.name];
+    one.seed = true;
+    if (one.report.name.empty())
+    {
+        one.report = std::move(seed);
+    }
+}
+
+void swim::set_self(member_report report)
+{
+    report.incarnation = self_.incarnation;
+    report.version = self_.version;
+    self_ = std::move(report);
+}
+
+void swim::stamp(peer_message& message)
+{
+    message.sender = self_.name;
+    message.incarnation = self_.incarnation;
+    message.sequence = ++last_sequence_;
+}
+
+std::vector<outgoing> swim::tick(base::instant now)
+{
+    std::vector<outgoing> out;
+    for (auto& one : probes_)
+    {
+        const bool late = now - one.sent_at >= options_.probe_timeout;
+        if (!one.answered && !one.indirect && late)
+        {
+            one.indirect = true;
+            ask_others(one, now, out);
+        }
+    }
+    if (!period_began_ || now - *period_began_ >= options_.period)
+    {
+        begin_period(now, out);
+    }
+    return out;
+}
+
+void swim::begin_period(base::instant now, std::vector<outgoing>& out)
+{
+    period_began_ = now;
+    ++self_.version;
+    for (const auto& one : probes_)
+    {
+        end_probe(one);
+    }
+    probes_.clear();
+    forget(now);
+    for (const auto& target : {next_in_zone(), next_far(now)})
+    {
+        if (!target)
+        {
+            continue;
+        }
+        const auto& report = members_.at(*target).report;
+        probes_.push_back({++last_probe_, *target, report.version, now});
+        out.push_back(
+            make(*target, report.peer_address, message_kind::ping, now));
+        out.back().message.probe = last_probe_;
+    }
+}
+
+void swim::end_probe(const probe& ended)
+{
+    const auto found = members_.find(ended.target);
+    if (ended.answered || found == members_.end() || found->second.dead)
+    {
+        return;
+    }
+    auto& one = found->second;
+    // A report made since the probe began is as good as its answer.
+    if (one.report.version > ended.version || one.suspect)
+    {
+        return;
+    }
+    one.suspect = true;
+    one.urgent = urgent_sends;
+    ++suspicions_;
+}
+
+void swim::ask_others(
+    const probe& one, base::instant now, std::vector<outgoing>& out)
+{
+    const auto target = members_.find(one.target);
+    if (target == members_.end())
+    {
+        return;
+    }
+    std::vector<std::string> helpers;
+    for (const auto& [name, other] : members_)
+    {
+        const bool near = other.report.zone == target->second.report.zone ||
+                          other.report.zone == self_.zone;
+        if (name != one.target && near && !other.dead && !other.suspect)
+        {
+            helpers.push_back(name);
+        }
+    }
+    std::ranges::shuffle(helpers, random_);
+    helpers.resize(std::min(helpers.size(), options_.indirect_probes));
+    for (const auto& name : helpers)
+    {
+        out.push_back(make(
+            name,
+            members_.at(name).report.peer_address,
+            message_kind::ping_request,
+            now));
+        out.back().message.probe = one.id;
+        out.back().message.target = one.target;
+    }
+}
+
+// Round robin over a shuffled list: each member is probed once a round.
+std::optional<std::string> swim::next_in_zone()
+{
+    for (int attempt = 0; attempt < 2; ++attempt)
+    {
+        while (!round_.empty())
+        {
+            auto name = std::move(round_.back());
+            round_.pop_back();
+            const auto found = members_.find(name);
+            if (found != members_.end() && !found->second.dead)
+            {
+                return name;
+            }
+        }
+        for (const auto& [name, one] : members_)
+        {
+            if (one.report.zone == self_.zone && !one.dead)
+            {
+                round_.push_back(name);
+            }
+        }
+        std::ranges::shuffle(round_, random_);
+    }
+    return std::nullopt;
+}
+
+// The long-range peers are drawn by a hash that changes with each rotation,
+// so that every daemon keeps few connections and the graph of all of them
+// stays connected.
+std::optional<std::string> swim::next_far(base::instant now)
+{
+    const auto epoch = now.time_since_epoch() / options_.far_rotation;
+    std::vector<std::pair<std::uint64_t, std::string>> far;
+    for (const auto& [name, one] : members_)
+    {
+        if (one.report.zone != self_.zone && !one.dead)
+        {
+            const auto key = self_.name + '/' + name;
+            far.emplace_back(
+                XXH3_64bits_withSeed(
+                    key.data(), key.size(), static_cast<std::uint64_t>(epoch)),
+                name);
+        }
+    }
+    if (far.empty())
+    {
+        return std::nullopt;
+    }
+    std::ranges::sort(far);
+    far.resize(std::min(far.size(), options_.far_peers));
+    return far[far_turn_++ % far.size()].second;
+}
+
+outgoing swim::make(
+    const std::string& to,
+    const base::endpoint& where,
+    message_kind kind,
+    base::instant now)
+{
+    outgoing out{to, where, {}};
+    stamp(out.message);
+    out.message.kind = kind;
+    add_reports(out.message, now);
+    return out;
+}
+
+// Changes first, then what was not sent for longest.
+void swim::add_reports(peer_message& message, base::instant now)
+{
+    message.members.push_back({self_, 0, false});
+    std::vector<entry*> order;
+    for (auto& [name, one] : members_)
+    {
+        if (!one.dead && one.report.incarnation != 0)
+        {
+            order.push_back(&one);
+        }
+    }
+    std::ranges::sort(
+        order,
+        [](const entry* left, const entry* right)
+        {
+            return std::tuple{-left->urgent, left->sent_at} <
+                   std::tuple{-right->urgent, right->sent_at};
+        });
+    auto zone_left = options_.zone_updates;
+    auto far_left = options_.far_updates;
+    for (auto* one : order)
+    {
+        auto& left = one->report.zone == self_.zone ? zone_left : far_left;
+        if (left == 0)
+        {
+            continue;
+        }
+        --left;
+        one->sent_at = now;
+        one->urgent -= one->urgent > 0 ? 1 : 0;
+        const auto age = base::to_milliseconds(now - one->heard_at);
+        message.members.push_back(
+            {one->report, static_cast<std::uint32_t>(age), one->suspect});
+    }
+}
+
+base::result<std::vector<outgoing>> swim::receive(
+    const peer_message& message, base::instant now)
+{
+    BOOST_OUTCOME_TRY(guard_.admit(message));
+    for (const auto& update : message.members)
+    {
+        merge(update, now);
+    }
+    std::vector<outgoing> out;
+    const auto sender = members_.find(message.sender);
+    if (sender == members_.end())
+    {
+        return out;
+    }
+    const auto& where = sender->second.report.peer_address;
+    if (message.kind == message_kind::ping)
+    {
+        out.push_back(make(message.sender, where, message_kind::ack, now));
+        out.back().message.probe = message.probe;
+    }
+    if (message.kind == message_kind::ping_request)
+    {
+        const auto target = members_.find(message.target);
+        if (target != members_.end())
+        {
+            relayed_[++last_probe_] = {message.sender, message.probe, now};
+            out.push_back(make(
+                message.target,
+                target->second.report.peer_address,
+                message_kind::ping,
+                now));
+            out.back().message.probe = last_probe_;
+        }
+    }
+    if (message.kind == message_kind::ack)
+    {
+        for (auto& one : probes_)
+        {
+            one.answered = one.answered || one.id == message.probe;
+        }
+        if (auto asked = relayed_.extract(message.probe))
+        {
+            const auto asker = members_.find(asked.mapped().asker);
+            if (asker != members_.end())
+            {
+                out.push_back(make(
+                    asker->first,
+                    asker->second.report.peer_address,
+                    message_kind::ack,
+                    now));
+                out.back().message.probe = asked.mapped().asked_id;
+            }
+        }
+    }
+    return out;
+}
+
+void swim::merge(const schema::member_update& update, base::instant now)
+{
+    if (update.report.name == self_.name)
+    {
+        merge_self(update);
+        return;
+    }
+    auto& one = members_[update.report.name];
+    const auto before = one.report.incarnation;
+    const bool known = !one.report.name.empty();
+    if (one.dead && update.report.incarnation <= before)
+    {
+        return;
+    }
+    if (newer(update.report, one.report) || !known)
+    {
+        const bool changed = update.report.incarnation != before ||
+                             update.report.leaving != one.report.leaving ||
+                             update.report.revision != one.report.revision ||
+                             update.suspect != one.suspect;
+        one.report = update.report;
+        one.suspect = update.suspect;
+        one.dead = false;
+        one.heard_at = now - std::chrono::milliseconds{update.age_ms};
+        one.urgent = changed ? urgent_sends : one.urgent;
+        limit_zone(update.report.zone);
+        return;
+    }
+    const bool same = !newer(one.report, update.report);
+    if (same && update.suspect && !one.suspect)
+    {
+        one.suspect = true;
+        one.urgent = urgent_sends;
+    }
+}
+
+void swim::merge_self(const schema::member_update& update)
+{
+    if (update.report.incarnation > self_.incarnation)
+    {
+        // The clock that gave this incarnation stood behind the one before.
+        self_.incarnation = update.report.incarnation + 1;
+        self_.version = 0;
+        return;
+    }
+    if (update.suspect && update.report.incarnation == self_.incarnation)
+    {
+        self_.version = std::max(self_.version, update.report.version) + 1;
+    }
+}
+
+// Keeps the members heard of last of another zone.
+void swim::limit_zone(const std::string& zone)
+{
+    if (zone == self_.zone)
+    {
+        return;
+    }
+    auto oldest = members_.end();
+    std::size_t count = 0;
+    for (auto one = members_.begin(); one != members_.end(); ++one)
+    {
+        if (one->second.report.zone != zone || one->second.seed)
+        {
+            continue;
+        }
+        ++count;
+        if (oldest == members_.end() ||
+            one->second.heard_at < oldest->second.heard_at)
+        {
+            oldest = one;
+        }
+    }
+    if (count > options_.members_per_far_zone)
+    {
+        members_.erase(oldest);
+    }
+}
+
+void swim::forget(base::instant now)
+{
+    std::erase_if(
+        members_,
+        [&](const auto& item)
+        {
+            const auto& one = item.second;
+            return one.dead && !one.seed &&
+                   now - one.gone_at > options_.forget_dead_after;
+        });
+    std::erase_if(
+        relayed_,
+        [&](const auto& item)
+        { return now - item.second.sent_at > options_.period; });
+}
+
+void swim::mark_gone(const std::string& name, base::instant now)
+{
+    const auto found = members_.find(name);
+    if (found != members_.end() && !found->second.dead)
+    {
+        found->second.dead = true;
+        found->second.gone_at = now;
+    }
+}
+
+member_snapshot swim::snapshot() const
+{
+    member_snapshot out;
+    for (const auto& [name, one] : members_)
+    {
+        auto state =
+            one.report.leaving ? member_state::leaving : member_state::alive;
+        state = one.suspect ? member_state::suspect : state;
+        state = one.dead ? member_state::dead : state;
+        out.members.push_back({one.report, state, one.heard_at});
+    }
+    return out;
+}
+
+std::vector<std::string> swim::suspects_of_zone() const
+{
+    std::vector<std::string> out;
+    for (const auto& [name, one] : members_)
+    {
+        if (one.suspect && !one.dead && one.report.zone == self_.zone)
+        {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+} // namespace waxwingvalve::decision::membership
--- a/packages/decision/ownership/owned_workers.hpp
+++ b/packages/decision/ownership/owned_workers.hpp
@@ -1,13 +1,24 @@
 // The upstream workers that this daemon may dispatch to at one moment.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <set>
 
 #include "base/endpoint.hpp"
+#include "base/time.hpp"
 
 namespace waxwingvalve::decision::ownership
 {
 
+// Slots of a worker that requests of a daemon that is gone may still occupy.
+struct inherited_slots
+{
+    std::uint32_t taken{};
+    // By then the last of those requests is past its deadline.
+    base::instant until{};
+};
+
 // Invariant: no other daemon may dispatch to a worker in `addresses`.
 struct owned_workers
 {
@@ -15,6 +26,13 @@
     // False from a pause of this process until its zone has been asked:
     // nothing may be dispatched in between.
     bool may_dispatch{true};
+    // Nothing may be dispatched from this moment on unless a newer set came.
+    // A process that was paused finds it in the past.
+    base::instant dispatch_until{base::instant::max()};
+    // A subset of `addresses`: these slots count as in use.
+    std::map<base::endpoint, inherited_slots> inherited{};
+    // Higher with each change of `addresses`; the reader confirms it.
+    std::uint64_t version{};
 };
 
 } // namespace waxwingvalve::decision::ownership
