Net: control messages between daemons over nng push and pull

The link under membership and ownership. PUSH to one dialled peer and one PULL listener were chosen because a daemon keeps connections only to the members of its zone and a few long-range peers; PAIR takes one peer a socket on the listening side too, BUS sends to all, REQ resends by itself.

--- a/packages/decision/membership/swim.cpp
+++ b/packages/decision/membership/swim.cpp
@@ -418,6 +418,27 @@
     }
 }
 
+std::vector<outgoing> swim::announce(base::instant now)
+{
+    ++self_.version;
+    std::vector<outgoing> out;
+    for (const auto& [name, one] : members_)
+    {
+        if (one.report.zone == self_.zone && !one.dead)
+        {
+            out.push_back(
+                make(name, one.report.peer_address, message_kind::ack, now));
+        }
+    }
+    return out;
+}
+
+const member_report* swim::find(const std::string& name) const
+{
+    const auto found = members_.find(name);
+    return found == members_.end() ? nullptr : &found->second.report;
+}
+
 member_snapshot swim::snapshot() const
 {
     member_snapshot out;
--- a/packages/decision/membership/swim.hpp
+++ b/packages/decision/membership/swim.hpp
@@ -70,7 +70,13 @@
     // incarnation is needed to bring it back.
     void mark_gone(const std::string& name, base::instant now);
 
+    // Tells all of the zone at once what set_self() changed; for a planned
+    // stop only, because its cost grows with the zone.
+    std::vector<outgoing> announce(base::instant now);
+
     member_snapshot snapshot() const;
+    // Null for a name that is not known.
+    const member_report* find(const std::string& name) const;
     std::vector<std::string> suspects_of_zone() const;
     const member_report& self() const { return self_; }
     // Puts sender, incarnation and the next sequence on a message of another
--- a/packages/decision/ownership/zone_ownership.cpp
+++ b/packages/decision/ownership/zone_ownership.cpp
@@ -320,18 +320,18 @@
 std::vector<std::string> zone_ownership::awaited() const
 {
     std::vector<std::string> out;
-    for (const auto& [name, eligible] : eligible_)
+    for (const auto& member : eligible_)
     {
         const bool waits = std::ranges::any_of(
             workers_,
             [&](const auto& item)
             {
                 return item.second.state == claim_state::claiming &&
-                       !item.second.settled.contains(name);
+                       !item.second.settled.contains(member.first);
             });
         if (waits)
         {
-            out.push_back(name);
+            out.push_back(member.first);
         }
     }
     return out;
--- /dev/null
+++ b/packages/net/peer_link.cpp
@@ -0,0 +1,160 @@
+#include "net/peer_link.hpp"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+#include <unistd.h>
+
+#include "schema/messages.hpp"
+
+namespace waxwingvalve::net
+{
+namespace
+{
+
+constexpr int receive_queue_messages = 128;
+// Few, so that what is sent after a reconnect is not old.
+constexpr int send_queue_messages = 4;
+constexpr nng_duration reconnect_least_ms = 100;
+constexpr nng_duration reconnect_most_ms = 1000;
+// Messages read before other work of the thread gets its turn.
+constexpr int messages_a_turn = 64;
+
+std::string to_url(const base::endpoint& where)
+{
+    return "tcp://" + base::to_string(where);
+}
+
+} // namespace
+
+class peer_link::sender
+{
+public:
+    explicit sender(const base::endpoint& to)
+    {
+        if (nng_push0_open(&socket_) != 0)
+        {
+            return;
+        }
+        nng_socket_set_int(socket_, NNG_OPT_SENDBUF, send_queue_messages);
+        nng_socket_set_ms(socket_, NNG_OPT_RECONNMINT, reconnect_least_ms);
+        nng_socket_set_ms(socket_, NNG_OPT_RECONNMAXT, reconnect_most_ms);
+        nng_dial(socket_, to_url(to).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    }
+    ~sender() { nng_close(socket_); }
+    sender(const sender&) = delete;
+    sender& operator=(const sender&) = delete;
+
+    bool send(std::span<const std::uint8_t> bytes)
+    {
+        used_at_ = base::monotonic_clock::now();
+        // nng copies the bytes; its signature just lacks the const.
+        std::string copy{bytes.begin(), bytes.end()};
+        return nng_send(socket_, copy.data(), copy.size(), NNG_FLAG_NONBLOCK) ==
+               0;
+    }
+
+    base::instant used_at() const { return used_at_; }
+
+private:
+    nng_socket socket_ = NNG_SOCKET_INITIALIZER;
+    base::instant used_at_{};
+};
+
+peer_link::peer_link(boost::asio::io_context& context, receive_function receive)
+    : readable_{context}, receive_{std::move(receive)}
+{
+}
+
+peer_link::~peer_link()
+{
+    boost::system::error_code ignored;
+    readable_.close(ignored);
+    senders_.clear();
+    if (listener_ != 0)
+    {
+        nng_close(nng_socket{listener_});
+    }
+}
+
+base::result<void> peer_link::listen(const base::endpoint& where)
+{
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    if (nng_pull0_open(&socket) != 0)
+    {
+        return base::fail(base::result_code::link_failed, to_string(where));
+    }
+    listener_ = socket.id;
+    nng_socket_set_int(socket, NNG_OPT_RECVBUF, receive_queue_messages);
+    nng_socket_set_size(
+        socket, NNG_OPT_RECVMAXSZ, schema::largest_message_bytes);
+    if (nng_listen(socket, to_url(where).c_str(), nullptr, 0) != 0)
+    {
+        return base::fail(base::result_code::address_in_use, to_string(where));
+    }
+    int descriptor = -1;
+    if (nng_socket_get_int(socket, NNG_OPT_RECVFD, &descriptor) != 0)
+    {
+        return base::fail(base::result_code::link_failed, to_string(where));
+    }
+    // nng owns its descriptor and Asio the copy.
+    readable_.assign(::dup(descriptor));
+    wait_for_messages();
+    return base::success();
+}
+
+void peer_link::wait_for_messages()
+{
+    readable_.async_wait(
+        boost::asio::posix::descriptor_base::wait_read,
+        [this](const boost::system::error_code& failure)
+        {
+            if (!failure)
+            {
+                receive_waiting();
+                wait_for_messages();
+            }
+        });
+}
+
+void peer_link::receive_waiting()
+{
+    for (int taken = 0; taken < messages_a_turn; ++taken)
+    {
+        nng_msg* message = nullptr;
+        if (nng_recvmsg(nng_socket{listener_}, &message, NNG_FLAG_NONBLOCK) !=
+            0)
+        {
+            return;
+        }
+        const auto* bytes =
+            static_cast<const std::uint8_t*>(nng_msg_body(message));
+        receive_({bytes, nng_msg_len(message)});
+        nng_msg_free(message);
+    }
+}
+
+bool peer_link::send(
+    const base::endpoint& to, std::span<const std::uint8_t> bytes)
+{
+    auto& one = senders_[to];
+    if (!one)
+    {
+        one = std::make_unique<sender>(to);
+    }
+    return one->send(bytes);
+}
+
+void peer_link::reset(const base::endpoint& to)
+{
+    senders_.erase(to);
+}
+
+void peer_link::close_unused(base::instant before)
+{
+    std::erase_if(
+        senders_,
+        [&](const auto& item) { return item.second->used_at() < before; });
+}
+
+} // namespace waxwingvalve::net
