Filings: a gate lets each key run at most once, and refuses truthfully

Cause: every copy of a filing was forwarded, whichever entry it met.

Filings now pass a gate before they are tried. A key under the entry's own prefix goes to its ledger; one of another entry is passed to that entry over a new connection; one of a dead incarnation is answered as unknown; one without prefix is claimed by a conditional create with an attempt id used once, settled by reading back. A run is no part of its caller's connection: a repeat after a hang-up gets the answer. Refusals made before the gate (unknown service, bad deadline, unreadable request) no longer say not-run of a key that may have run.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log.hpp"
 #include "daemon/figures.hpp"
+#include "daemon/incarnation.hpp"
 #include "daemon/operators_duty.hpp"
 #include "daemon/records_duty.hpp"
 #include "daemon/serving_duty.hpp"
@@ -78,7 +79,7 @@
     asio::io_context signal_context{1};
     operators_duty operators{settings, counts};
     {
-        serving_duty serving{settings, counts};
+        serving_duty serving{settings, counts, make_incarnation()};
         records_duty records{settings, counts, [&](configuration_pointer next) {
                                  return serving.offer(std::move(next));
                              }};
--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -20,20 +20,32 @@
     std::string name{};
     base::endpoint address{};
     std::uint32_t weight{};
+    // Empty when the prefix of that daemon is not known here.
+    std::string key_prefix{};
     // 0 own zone, 1 own region, 2 elsewhere.
     int distance{};
 };
 
+std::string prefix_of(std::string_view name, const placement& places)
+{
+    const auto& members = places.members().members;
+    const auto found = std::ranges::find_if(
+        members, [&](const auto& one) { return one.report.name == name; });
+    return found != members.end() ? found->report.key_prefix : std::string{};
+}
+
 std::vector<ranked_entry> rank_entries(
     const schema::service& service,
     const placement& places,
-    const schema::daemon_settings& settings)
+    const schema::daemon_settings& settings,
+    const std::string& own_key_prefix)
 {
     std::vector<ranked_entry> out;
     out.push_back(
         {settings.name,
          settings.caller_address,
          places.slots_of(settings.name, service),
+         own_key_prefix,
          0});
     for (const auto& peer : settings.peers)
     {
@@ -42,6 +54,7 @@
             {peer.name,
              peer.caller_address,
              places.slots_of(peer.name, service),
+             prefix_of(peer.name, places),
              peer.zone == settings.zone ? 0 : region_distance});
     }
     std::ranges::stable_sort(out, {}, &ranked_entry::distance);
@@ -58,7 +71,8 @@
     {
         list.push_back(
             {{"address", base::to_string(entry.address)},
-             {"weight", entry.weight}});
+             {"weight", entry.weight},
+             {"key_prefix", entry.key_prefix}});
     }
     return boost::json::serialize(boost::json::object{
         {"entries", std::move(list)},
@@ -71,7 +85,8 @@
 net::http_response answer_entries(
     const net::http_request& request,
     const placement& places,
-    const schema::daemon_settings& settings)
+    const schema::daemon_settings& settings,
+    const std::string& own_key_prefix)
 {
     const auto name = net::query_value(request.target, "service");
     const auto* service =
@@ -88,7 +103,8 @@
         return make_refusal(
             {result_code::client_address_invalid, *client}, outcome::not_run);
     }
-    const auto entries = rank_entries(*service, places, settings);
+    const auto entries =
+        rank_entries(*service, places, settings, own_key_prefix);
     base::log_event(
         base::log_level::info,
         base::log_channel::routing,
--- a/packages/daemon/serving/front.cpp
+++ b/packages/daemon/serving/front.cpp
@@ -1,5 +1,6 @@
 #include "daemon/serving/front.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "daemon/serving/answers.hpp"
@@ -49,11 +50,14 @@
 } // namespace
 
 front::front(
-    const schema::daemon_settings& settings, placement& places, figures& counts)
-    : settings_{settings}, places_{places}, counts_{counts}, attempts_{
-                                                                 settings,
-                                                                 places,
-                                                                 counts}
+    asio::any_io_executor executor,
+    const schema::daemon_settings& settings,
+    placement& places,
+    figures& counts,
+    std::uint64_t incarnation)
+    : settings_{settings}, places_{places}, counts_{counts},
+      attempts_{settings, places, counts},
+      filings_{std::move(executor), settings, places, attempts_, incarnation}
 {
 }
 
@@ -62,18 +66,35 @@
     if (net::path_of(in.target) == "/v1/entries" && in.method == "GET")
     {
         counts_.look_ups.fetch_add(1, std::memory_order_relaxed);
-        return answer_entries(in, places_, settings_);
+        return answer_entries(in, places_, settings_, filings_.key_prefix());
     }
     if (!net::find_field(in.fields, service_field))
     {
-        return make_refusal(
-            {result_code::path_unknown, std::string{net::path_of(in.target)}},
-            outcome::not_run);
+        return filings_.refuse_early(
+            in,
+            {result_code::path_unknown, std::string{net::path_of(in.target)}});
     }
     return std::nullopt;
 }
 
-base::result<job> front::accept(net::http_request&& in) const
+net::http_response front::refuse_unread(const base::error& reason)
+{
+    // The key, if there was one, may have run by an earlier copy.
+    return make_refusal(reason, outcome::unknown);
+}
+
+// True when a daemon that is known here passed the request on. The field from
+// anyone else counts for nothing: it would lead around the ledger.
+bool front::passed_by_peer(const net::http_request& in) const
+{
+    const auto by = net::find_field(in.fields, passed_field);
+    const auto& members = places_.members().members;
+    return by && std::ranges::any_of(
+                     members,
+                     [&](const auto& one) { return one.report.name == *by; });
+}
+
+base::result<job> front::accept(const net::http_request& in) const
 {
     job work;
     work.service = net::find_field(in.fields, service_field).value_or("");
@@ -100,8 +121,7 @@
     {
         return base::fail(result_code::key_missing);
     }
-    work.passed = net::find_field(in.fields, passed_field).has_value();
-    work.request = std::move(in);
+    work.passed = passed_by_peer(in);
     return work;
 }
 
@@ -110,13 +130,24 @@
 {
     counts_.requests.fetch_add(1, std::memory_order_relaxed);
     const auto asked_as = attempt_of(in);
-    auto work = accept(std::move(in));
+    auto work = accept(in);
     if (!work)
     {
         counts_.refused.fetch_add(1, std::memory_order_relaxed);
-        auto refusal = make_refusal(work.error(), outcome::not_run);
+        // A daemon that passed a request on judges its key itself.
+        auto refusal = passed_by_peer(in)
+                           ? make_refusal(work.error(), outcome::not_run)
+                           : filings_.refuse_early(in, work.error());
         co_return echo(std::move(refusal), asked_as);
     }
+    work.value().request = std::move(in);
+    const bool direct =
+        work.value().operation.idempotent || work.value().passed;
+    if (!direct)
+    {
+        auto answer = co_await filings_.serve(std::move(work).value());
+        co_return echo(std::move(answer), asked_as);
+    }
     auto ended = co_await attempts_.run(work.value());
     co_return echo(std::move(ended.answer), asked_as);
 }
--- a/packages/daemon/serving/front.hpp
+++ b/packages/daemon/serving/front.hpp
@@ -4,13 +4,16 @@
 // Touched by the serving thread alone.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include "base/result.hpp"
 #include "daemon/figures.hpp"
 #include "daemon/serving/attempts.hpp"
+#include "daemon/serving/filings.hpp"
 #include "daemon/serving/job.hpp"
 #include "daemon/serving/placement.hpp"
 #include "net/http_message.hpp"
@@ -22,10 +25,13 @@
 class front
 {
 public:
+    // `incarnation` tells this start of the daemon from any other.
     front(
+        boost::asio::any_io_executor executor,
         const schema::daemon_settings& settings,
         placement& places,
-        figures& counts);
+        figures& counts,
+        std::uint64_t incarnation);
 
     // Answers look-ups; nothing for a request to a service.
     std::optional<net::http_response> answer_now(const net::http_request& in);
@@ -33,13 +39,21 @@
     boost::asio::awaitable<std::optional<net::http_response>> serve(
         net::http_request in);
 
+    // Refuses what could not be read as a request; it may have had a key.
+    static net::http_response refuse_unread(const base::error& reason);
+
+    // Filings that run without a caller that waits count too.
+    std::size_t running_filings() const { return filings_.running(); }
+
 private:
-    base::result<job> accept(net::http_request&& in) const;
+    bool passed_by_peer(const net::http_request& in) const;
+    base::result<job> accept(const net::http_request& in) const;
 
     const schema::daemon_settings& settings_;
     placement& places_;
     figures& counts_;
     attempts attempts_;
+    filing_gate filings_;
 };
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -33,10 +33,12 @@
 } // namespace
 
 serving_duty::serving_duty(
-    const schema::daemon_settings& settings, figures& counts)
+    const schema::daemon_settings& settings,
+    figures& counts,
+    std::uint64_t incarnation)
     : context_{1}, settings_{settings}, counts_{counts},
       places_{context_.get_executor(), settings},
-      front_{settings, places_, counts},
+      front_{context_.get_executor(), settings, places_, counts, incarnation},
       server_{
           context_,
           to_limits(settings.limits),
@@ -44,11 +46,7 @@
            { return front_.answer_now(in); },
            .route = [this](net::http_request in)
            { return front_.serve(std::move(in)); },
-           .refuse =
-               [](const base::error& reason)
-           {
-               return serving::make_refusal(reason, serving::outcome::not_run);
-           }}},
+           .refuse = serving::front::refuse_unread}},
       configurations_{context_, [this](configuration_pointer next) {
                           adopt(std::move(next));
                       }}
@@ -123,7 +121,9 @@
         {
             counts_.connections.store(server_.connections());
             counts_.running.store(server_.running());
-            if (counts_.leaving.load() && server_.running() == 0)
+            const bool idle =
+                server_.running() == 0 && front_.running_filings() == 0;
+            if (counts_.leaving.load() && idle)
             {
                 context_.stop();
                 return;
--- a/packages/daemon/serving_duty.hpp
+++ b/packages/daemon/serving_duty.hpp
@@ -24,7 +24,10 @@
 class serving_duty
 {
 public:
-    serving_duty(const schema::daemon_settings& settings, figures& counts);
+    serving_duty(
+        const schema::daemon_settings& settings,
+        figures& counts,
+        std::uint64_t incarnation);
     ~serving_duty();
     serving_duty(const serving_duty&) = delete;
     serving_duty& operator=(const serving_duty&) = delete;
--- /dev/null
+++ b/tests/fakes/platform/fake_table_service.hpp
@@ -0,0 +1,150 @@
+// A table service in memory whose answers and writes a test can lose.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "platform/table_service.hpp"
+
+namespace waxwingvalve::fakes
+{
+
+// What happens to one call.
+enum class table_fault : std::uint8_t
+{
+    none,
+    // Nothing is written or read.
+    unreachable,
+    // The commit takes effect, its answer is lost.
+    answer_lost,
+    // The commit's answer is lost and it takes effect only with the next.
+    written_late,
+};
+
+struct table_state
+{
+    // Faults of the next calls, in order; none when empty.
+    std::deque<table_fault> commit_faults{};
+    std::deque<table_fault> read_faults{};
+    std::map<std::pair<std::string, std::string>, platform::table_row> rows{};
+    std::vector<platform::transaction> late{};
+    int commits{};
+};
+
+class fake_table_service
+{
+public:
+    template <class T>
+    using call = boost::asio::awaitable<base::result<T>>;
+
+    explicit fake_table_service(std::shared_ptr<table_state> state)
+        : state_{std::move(state)}
+    {
+    }
+
+    call<std::optional<platform::table_row>> read(
+        std::string_view table, std::string_view key)
+    {
+        if (next(state_->read_faults) != table_fault::none)
+        {
+            co_return base::fail(base::result_code::platform_unreachable);
+        }
+        const auto found =
+            state_->rows.find({std::string{table}, std::string{key}});
+        if (found == state_->rows.end())
+        {
+            co_return std::optional<platform::table_row>{};
+        }
+        co_return std::optional{found->second};
+    }
+
+    call<std::vector<platform::table_row>> scan(
+        std::string_view table, std::string_view prefix)
+    {
+        std::vector<platform::table_row> out;
+        for (const auto& [where, row] : state_->rows)
+        {
+            if (where.first == table && where.second.starts_with(prefix))
+            {
+                out.push_back(row);
+            }
+        }
+        co_return out;
+    }
+
+    call<void> commit(const platform::transaction& change)
+    {
+        ++state_->commits;
+        const auto fault = next(state_->commit_faults);
+        if (fault == table_fault::unreachable)
+        {
+            co_return base::fail(base::result_code::platform_unreachable);
+        }
+        if (fault == table_fault::written_late)
+        {
+            state_->late.push_back(change);
+            co_return base::fail(base::result_code::platform_outcome_unknown);
+        }
+        for (const auto& one : std::exchange(state_->late, {}))
+        {
+            apply(one);
+        }
+        const bool written = apply(change);
+        if (fault == table_fault::answer_lost)
+        {
+            co_return base::fail(base::result_code::platform_outcome_unknown);
+        }
+        if (!written)
+        {
+            co_return base::fail(base::result_code::platform_conflict);
+        }
+        co_return base::success();
+    }
+
+private:
+    static table_fault next(std::deque<table_fault>& faults)
+    {
+        if (faults.empty())
+        {
+            return table_fault::none;
+        }
+        const auto out = faults.front();
+        faults.pop_front();
+        return out;
+    }
+
+    bool apply(const platform::transaction& change)
+    {
+        for (const auto& wanted : change.conditions)
+        {
+            const auto found = state_->rows.find({wanted.table, wanted.key});
+            const auto version =
+                found != state_->rows.end() ? found->second.version : 0;
+            if (version != wanted.version)
+            {
+                return false;
+            }
+        }
+        for (const auto& write : change.writes)
+        {
+            auto& row = state_->rows[{write.table, write.key}];
+            row.key = write.key;
+            row.value = write.value.value_or("");
+            ++row.version;
+        }
+        return true;
+    }
+
+    std::shared_ptr<table_state> state_;
+};
+
+static_assert(platform::table_service<fake_table_service>);
+
+} // namespace waxwingvalve::fakes
--- a/tests/harness/layout.cpp
+++ b/tests/harness/layout.cpp
@@ -38,4 +38,14 @@
         .region_delay_us = 20000};
 }
 
+layout small()
+{
+    return {
+        .name = "small",
+        .zones = {{"addis", "addis-a", 2}, {"gondar", "gondar-a", 1}},
+        .services = {{"seam-registry", 6, 4, "/filings"}},
+        .zone_delay_us = 4000,
+        .region_delay_us = 35000};
+}
+
 } // namespace waxwingvalve::harness
--- a/tests/harness/layout.hpp
+++ b/tests/harness/layout.hpp
@@ -35,5 +35,7 @@
 
 layout authority();
 layout khwai();
+// Two zones and three entries, for tests of one decision that start often.
+layout small();
 
 } // namespace waxwingvalve::harness
