--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -37,11 +37,13 @@
 } // namespace
 
 serving_duty::serving_duty(
-    const schema::daemon_settings& settings, figures& counts)
+    const schema::daemon_settings& settings,
+    figures& counts,
+    std::uint64_t incarnation)
     : context_{1}, settings_{settings}, counts_{counts}, timer_{context_},
       latencies_{latency_window_length},
       places_{context_.get_executor(), settings},
-      front_{settings, places_, counts},
+      front_{context_.get_executor(), settings, places_, counts, incarnation},
       server_{
           context_,
           to_limits(settings.limits),
@@ -49,11 +51,7 @@
            { return front_.answer_now(in); },
            .route = [this](net::http_request in)
            { return serve(std::move(in)); },
-           .refuse =
-               [](const base::error& reason)
-           {
-               return serving::make_refusal(reason, serving::outcome::not_run);
-           }}},
+           .refuse = serving::front::refuse_unread}},
       configurations_{context_, [this](configuration_pointer next) {
                           adopt(std::move(next));
                       }}
@@ -163,8 +161,10 @@
     counts_.running.store(server_.running());
     counts_.request_latency.set(latencies_.summary(now));
 
+    // A filing's run is no part of its caller's connection.
+    const auto running = server_.running() + front_.running_filings();
     const auto before = stop_.phase();
-    const auto phase = stop_.advance(now, server_.running());
+    const auto phase = stop_.advance(now, running);
     if (phase != before && phase == stop_phase::finishing)
     {
         log_event(
@@ -172,7 +172,7 @@
             log_channel::daemon,
             "no_new_connections",
             "running",
-            server_.running());
+            running);
         server_.stop();
     }
     if (phase == stop_phase::ended)
