Routing: admission, a queue by priority and overflow by room decide where a request runs

Cause: placement took the freest own worker by the record's slots and else the next peer in turn. Caps, drains, refusals and health of workers were not seen, and a request without room was refused at once.

A request that a peer passed on is admitted at once or refused, behind the own callers. A refused pass is tried at one more peer.

Ruled out: an awaited call with an aggregate written in place as its argument.

--- a/packages/daemon/serving/attempts.cpp
+++ b/packages/daemon/serving/attempts.cpp
@@ -18,6 +18,10 @@
 // request: something in between forgets an idle one without telling.
 constexpr milliseconds look_up_proven_within{30'000};
 constexpr milliseconds filing_proven_within{200};
+// Peers asked one after the other when each turns out to have no room.
+constexpr std::size_t most_peers_tried = 2;
+const std::string no_room_code =
+    fmt::format("{:04}", base::number(result_code::no_room));
 
 finished failed(const net::exchange_failure& failure)
 {
@@ -42,6 +46,13 @@
                to_string(outcome::not_run);
 }
 
+// A peer that had no room says so at once and runs nothing.
+bool had_no_room(const finished& from)
+{
+    const auto code = net::find_field(from.answer.fields, code_field);
+    return from.what == outcome::not_run && code == no_room_code;
+}
+
 // What a worker's whole answer means.
 finished judge(net::http_response answer, std::string_view attempt)
 {
@@ -96,18 +107,35 @@
 
 asio::awaitable<finished> attempts::run(job& work)
 {
-    auto where = places_.place(work.service, !work.passed);
-    if (auto* hold = std::get_if<slot_hold>(&where))
-    {
-        co_return co_await run_here(work, std::move(*hold));
-    }
-    if (const auto* peer = std::get_if<peer_target>(&where))
+    place_request asked{
+        .service = work.service,
+        .priority = work.operation.priority,
+        .may_pass = !work.passed,
+        .deadline = work.deadline};
+    while (true)
     {
+        auto where = co_await places_.place_in_time(asked);
+        if (auto* hold = std::get_if<slot_hold>(&where))
+        {
+            co_return co_await run_here(work, std::move(*hold));
+        }
+        if (const auto* refused = std::get_if<base::error>(&where))
+        {
+            counts_.refused.fetch_add(1, std::memory_order_relaxed);
+            co_return refuse(*refused, outcome::not_run);
+        }
+        const auto& peer = std::get<peer_target>(where);
         counts_.passed_to_peers.fetch_add(1, std::memory_order_relaxed);
-        co_return co_await pass_on(work, *peer);
+        auto out = co_await pass_on(work, peer);
+        if (!had_no_room(out) || asked.avoid.size() >= most_peers_tried)
+        {
+            co_return out;
+        }
+        // The view of the peer was old; it ran nothing.
+        places_.note_peer_refused(peer.name, work.service);
+        net::remove_field(work.request.fields, passed_field);
+        asked.avoid.push_back(peer.caller_address);
     }
-    counts_.refused.fetch_add(1, std::memory_order_relaxed);
-    co_return refuse(std::get<base::error>(where), outcome::not_run);
 }
 
 asio::awaitable<finished> attempts::run_here(job& work, slot_hold hold)
--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -20,29 +20,67 @@
     std::string name{};
     base::endpoint address{};
     std::uint32_t weight{};
+    // Prefix for the keys of filings sent there; empty when not known.
+    std::string key_prefix{};
     // 0 own zone, 1 own region, 2 elsewhere.
     int distance{};
 };
 
+// An entry of which little is free still gets a share, for its figure is old
+// by the time that the caller uses it.
+constexpr std::uint32_t least_weight = 1;
+
+std::uint32_t weight_of(std::uint32_t slots, std::uint32_t free)
+{
+    return slots == 0 ? 0 : std::max(free, least_weight);
+}
+
+int distance_of(
+    const decision::membership::member_report& to,
+    const schema::daemon_settings& from)
+{
+    if (to.zone == from.zone)
+    {
+        return 0;
+    }
+    return to.region == from.region ? 1 : 2;
+}
+
+// Leaving, dead and drained entries are not named, and serve on.
 std::vector<ranked_entry> rank_entries(
     const schema::service& service,
     const placement& places,
     const schema::daemon_settings& settings)
 {
     std::vector<ranked_entry> out;
-    out.push_back(
-        {settings.name,
-         settings.caller_address,
-         places.slots_of(settings.name, service),
-         0});
-    for (const auto& peer : settings.peers)
+    const auto& drained = places.drained();
+    if (!drained.includes_entry(settings.name, settings.zone))
+    {
+        const auto own = places.own_capacity(service.name);
+        out.push_back(
+            {settings.name,
+             settings.caller_address,
+             weight_of(own.slots, own.free),
+             "",
+             0});
+    }
+    for (const auto& peer : places.members().members)
     {
-        const int region_distance = peer.region == settings.region ? 1 : 2;
+        using decision::membership::member_state;
+        const auto& report = peer.report;
+        const bool named = peer.state == member_state::alive ||
+                           peer.state == member_state::suspect;
+        if (!named || drained.includes_entry(report.name, report.zone))
+        {
+            continue;
+        }
+        const auto room = places.room_of(peer, service.name);
         out.push_back(
-            {peer.name,
-             peer.caller_address,
-             places.slots_of(peer.name, service),
-             peer.zone == settings.zone ? 0 : region_distance});
+            {report.name,
+             report.caller_address,
+             weight_of(room.slots, room.free),
+             report.key_prefix,
+             distance_of(report, settings)});
     }
     std::ranges::stable_sort(out, {}, &ranked_entry::distance);
     return out;
@@ -56,9 +94,14 @@
     boost::json::array list;
     for (const auto& entry : entries)
     {
-        list.push_back(
-            {{"address", base::to_string(entry.address)},
-             {"weight", entry.weight}});
+        boost::json::object one{
+            {"address", base::to_string(entry.address)},
+            {"weight", entry.weight}};
+        if (!entry.key_prefix.empty())
+        {
+            one["key_prefix"] = entry.key_prefix;
+        }
+        list.push_back(std::move(one));
     }
     return boost::json::serialize(boost::json::object{
         {"entries", std::move(list)},
@@ -100,7 +143,7 @@
         "client",
         client.value_or("unnamed"),
         "chosen",
-        entries.front().name,
+        entries.empty() ? "none" : std::string_view{entries.front().name},
         "among",
         entries.size(),
         "why",
--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -1,9 +1,9 @@
 #include "daemon/serving/placement.hpp"
 
-#include <algorithm>
-#include <numeric>
+#include <utility>
 
 #include "base/log.hpp"
+#include "decision/limits/shares.hpp"
 #include "decision/ownership/rendezvous.hpp"
 
 namespace waxwingvalve::daemon::serving
@@ -44,7 +44,10 @@
     asio::any_io_executor executor, const schema::daemon_settings& settings)
     : executor_{std::move(executor)}, settings_{settings},
       members_{members_of_settings(settings)},
-      configuration_{std::make_shared<decision::records::configuration>()}
+      configuration_{std::make_shared<decision::records::configuration>()},
+      slots_{std::make_shared<slot_queue>(executor_)},
+      health_{std::make_shared<worker_health>(executor_, slots_)}, peers_{
+                                                                       settings}
 {
     zone_members_[settings.zone].push_back(settings.name);
     for (const auto& peer : settings.peers)
@@ -53,6 +56,11 @@
     }
 }
 
+placement::~placement()
+{
+    slots_->close();
+}
+
 std::optional<std::string_view> placement::owner_of(
     const schema::worker& one) const
 {
@@ -69,7 +77,7 @@
     std::shared_ptr<const decision::records::configuration> next)
 {
     configuration_ = std::move(next);
-    rebuild_pools();
+    rebuild();
 }
 
 void placement::adopt_members(member_pointer next)
@@ -80,22 +88,41 @@
 void placement::adopt_ownership(decision::ownership::owned_workers next)
 {
     ownership_ = std::move(next);
-    rebuild_pools();
+    rebuild();
 }
 
 bool placement::owns(const schema::worker& one) const
 {
     if (ownership_)
     {
-        return ownership_->may_dispatch &&
-               ownership_->addresses.contains(one.address);
+        return ownership_->addresses.contains(one.address);
     }
     return owner_of(one) == settings_.name;
 }
 
+bool placement::may_dispatch() const
+{
+    return !ownership_ || ownership_->may_dispatch;
+}
+
+void placement::rebuild()
+{
+    const auto shares = decision::limits::shares_of(
+        *configuration_,
+        settings_.zone,
+        [this](const schema::worker& one) { return owns(one); });
+    slots_->admission().adopt(shares, base::monotonic_clock::now());
+    drained_ = decision::drains::drained_by(*configuration_);
+    count_configured_slots();
+    rebuild_pools();
+    apply_drains();
+    slots_->pump();
+}
+
 void placement::rebuild_pools()
 {
-    std::map<std::string, pools, std::less<>> owned;
+    std::map<base::endpoint, pool_pointer> owned;
+    std::set<base::endpoint> watched;
     for (const auto& [key, record] : configuration_->by_key)
     {
         const auto* service = std::get_if<schema::service>(&record.body);
@@ -103,104 +130,195 @@
         {
             continue;
         }
-        auto& before = owned_[service->name];
-        auto& now = owned[service->name];
         for (const auto& one : service->workers)
         {
-            if (!owns(one))
+            if (one.zone != settings_.zone || !owns(one))
             {
                 continue;
             }
-            const auto kept = std::ranges::find_if(
-                before,
-                [&](const auto& pool)
-                { return pool->address() == one.address; });
-            now.push_back(
-                kept != before.end()
-                    ? *kept
-                    : std::make_shared<worker_pool>(executor_, one));
-            now.back()->set_slots(one.slots);
+            const auto kept = pools_.find(one.address);
+            auto pool = kept != pools_.end() ? kept->second : make_pool(one);
+            pool->set_slots(one.slots);
+            owned.emplace(one.address, std::move(pool));
+            watched.insert(one.address);
         }
     }
-    owned_ = std::move(owned);
+    pools_ = std::move(owned);
+    health_->watch(std::move(watched));
 }
 
-capacity placement::own_capacity(std::string_view service) const
+placement::pool_pointer placement::make_pool(const schema::worker& one) const
+{
+    // The pool can outlive the placement inside a request in progress.
+    worker_events events{
+        .ended =
+            [slots = slots_, address = one.address](worker_verdict verdict)
+        {
+            auto* limit = slots->admission().find_limit(address);
+            if (limit != nullptr && verdict == worker_verdict::answered)
+            {
+                limit->note_answer();
+            }
+            if (limit != nullptr && verdict == worker_verdict::refused)
+            {
+                limit->note_refusal(base::monotonic_clock::now());
+            }
+        },
+        .released = [slots = slots_, address = one.address]
+        { slots->release(address); }};
+    return std::make_shared<worker_pool>(executor_, one, std::move(events));
+}
+
+void placement::apply_drains()
+{
+    for (const auto& [key, record] : configuration_->by_key)
+    {
+        const auto* service = std::get_if<schema::service>(&record.body);
+        if (service == nullptr)
+        {
+            continue;
+        }
+        for (const auto& one : service->workers)
+        {
+            auto* limit = slots_->admission().find_limit(one.address);
+            if (limit != nullptr)
+            {
+                limit->set_draining(
+                    decision::limits::drain_source::record,
+                    drained_.includes(one));
+            }
+        }
+    }
+}
+
+void placement::count_configured_slots()
 {
-    capacity out;
-    const auto found = owned_.find(service);
-    if (found == owned_.end())
+    configured_slots_.clear();
+    for (const auto& [key, record] : configuration_->by_key)
     {
-        return out;
+        const auto* service = std::get_if<schema::service>(&record.body);
+        if (service == nullptr)
+        {
+            continue;
+        }
+        for (const auto& one : service->workers)
+        {
+            if (const auto owner = owner_of(one))
+            {
+                configured_slots_[std::string{*owner}][service->name] +=
+                    one.slots;
+            }
+        }
     }
-    for (const auto& pool : found->second)
+}
+
+std::uint32_t placement::configured_slots(
+    std::string_view daemon, std::string_view service) const
+{
+    const auto found = configured_slots_.find(daemon);
+    if (found == configured_slots_.end())
     {
-        out.slots += pool->slots();
-        out.free += pool->free_slots();
+        return 0;
     }
-    return out;
+    const auto slots = found->second.find(service);
+    return slots == found->second.end() ? 0 : slots->second;
 }
 
-std::uint32_t placement::slots_of(
-    std::string_view daemon, const schema::service& service) const
+capacity placement::own_capacity(std::string_view service) const
 {
-    return std::accumulate(
-        service.workers.begin(),
-        service.workers.end(),
-        std::uint32_t{0},
-        [&](std::uint32_t sum, const schema::worker& one)
-        { return owner_of(one) == daemon ? sum + one.slots : sum; });
+    const auto now = base::monotonic_clock::now();
+    const auto room = slots_->admission().room_of(service, now);
+    return {room.slots, may_dispatch() ? room.free : 0};
+}
+
+reported_room placement::room_of(
+    const decision::membership::member& peer, std::string_view service) const
+{
+    return peer_rooms::room_of(
+        peer,
+        service,
+        [&](std::string_view name) { return configured_slots(name, service); });
 }
 
 std::optional<peer_target> placement::choose_peer(
-    const schema::service& service)
+    std::string_view service, std::span<const base::endpoint> avoid)
 {
-    const auto& members = members_->members;
-    for (std::size_t tried = 0; tried < members.size(); ++tried)
+    const auto* chosen = peers_.choose(
+        service,
+        avoid,
+        *members_,
+        *configuration_,
+        [&](std::string_view name) { return configured_slots(name, service); });
+    if (chosen == nullptr)
     {
-        const auto& peer = members[next_peer_++ % members.size()];
-        if (peer.state == decision::membership::member_state::alive &&
-            slots_of(peer.report.name, service) > 0)
-        {
-            return peer_target{peer.report.name, peer.report.caller_address};
-        }
+        return std::nullopt;
     }
-    return std::nullopt;
+    log_event(
+        log_level::info,
+        log_channel::routing,
+        "decision",
+        "service",
+        service,
+        "chosen",
+        chosen->report.name,
+        "among",
+        members_->members.size(),
+        "why",
+        "no-room-here",
+        "revision",
+        configuration_->revision);
+    return peer_target{chosen->report.name, chosen->report.caller_address};
+}
+
+void placement::note_peer_refused(
+    std::string_view peer, std::string_view service)
+{
+    peers_.note_refused(peer, service);
+}
+
+placed placement::hold(const base::endpoint& worker)
+{
+    const auto& pool = pools_.at(worker);
+    log_event(
+        log_level::info,
+        log_channel::routing,
+        "decision",
+        "chosen",
+        base::to_string(worker),
+        "among",
+        pools_.size(),
+        "why",
+        "own-worker-with-most-room",
+        "revision",
+        configuration_->revision);
+    return slot_hold{pool};
 }
 
-placed placement::place(std::string_view service, bool may_pass)
+placed placement::place(
+    std::string_view service,
+    bool may_pass,
+    std::span<const base::endpoint> avoid,
+    schema::priority priority)
 {
-    const auto* record = configuration_->find_service(service);
-    if (record == nullptr)
+    if (configuration_->find_service(service) == nullptr)
     {
         return base::error{result_code::service_unknown, std::string{service}};
     }
-    const auto& own = owned_[record->name];
-    const auto freest = std::ranges::max_element(
-        own, {}, [](const auto& pool) { return pool->free_slots(); });
-    if (freest != own.end() && (*freest)->free_slots() > 0)
+    // A passed request overtakes nobody who waits here.
+    const auto rank = may_pass ? priority : schema::priority::background;
+    const auto own =
+        may_dispatch() ? slots_->take(service, rank, avoid) : std::nullopt;
+    if (own)
     {
-        log_event(
-            log_level::info,
-            log_channel::routing,
-            "decision",
-            "service",
-            service,
-            "chosen",
-            base::to_string((*freest)->address()),
-            "among",
-            own.size(),
-            "why",
-            "own-worker-with-most-room",
-            "revision",
-            configuration_->revision);
-        return slot_hold{*freest};
+        return hold(*own);
     }
-    auto peer = may_pass ? choose_peer(*record) : std::nullopt;
-    if (!peer)
+    auto peer = may_pass ? choose_peer(service, avoid) : std::nullopt;
+    if (peer)
     {
-        return base::error{result_code::no_room, std::string{service}};
+        return std::move(*peer);
     }
+    const auto code =
+        may_dispatch() ? result_code::no_room : result_code::paused;
     log_event(
         log_level::info,
         log_channel::routing,
@@ -208,14 +326,42 @@
         "service",
         service,
         "chosen",
-        peer->name,
-        "among",
-        members_->members.size(),
+        "none",
         "why",
-        "no-room-here",
+        base::describe(code).name,
+        "passed",
+        !may_pass,
         "revision",
         configuration_->revision);
-    return std::move(*peer);
+    return base::error{code, std::string{service}};
+}
+
+asio::awaitable<placed> placement::place_in_time(place_request request)
+{
+    auto now = place(
+        request.service, request.may_pass, request.avoid, request.priority);
+    const auto* refusal = std::get_if<base::error>(&now);
+    const bool may_wait = refusal != nullptr && request.may_pass &&
+                          refusal->code == result_code::no_room &&
+                          own_capacity(request.service).slots > 0;
+    if (!may_wait)
+    {
+        co_return now;
+    }
+    auto own = co_await slots_->wait(
+        request.service, request.priority, request.deadline);
+    if (!own)
+    {
+        co_return placed{own.error()};
+    }
+    // The worker may have gone to another owner when its slot was granted;
+    // nothing may be dispatched to it then.
+    if (!may_dispatch() || !pools_.contains(own.value()))
+    {
+        slots_->release(own.value());
+        co_return placed{base::error{result_code::no_room, request.service}};
+    }
+    co_return hold(own.value());
 }
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -7,14 +7,20 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 
+#include "daemon/serving/peer_rooms.hpp"
+#include "daemon/serving/slot_queue.hpp"
+#include "daemon/serving/worker_health.hpp"
 #include "daemon/serving/worker_pool.hpp"
+#include "decision/drains/drained.hpp"
 #include "decision/membership/member_snapshot.hpp"
 #include "decision/ownership/owned_workers.hpp"
 #include "decision/records/configuration.hpp"
@@ -40,6 +46,19 @@
 // A request runs on an own worker, is passed to a peer, or is refused.
 using placed = std::variant<slot_hold, peer_target, base::error>;
 
+// What placement has to know of a request.
+struct place_request
+{
+    std::string service{};
+    schema::priority priority{schema::priority::interactive};
+    // False for a request that a peer passed on: it is admitted at once or
+    // refused, so that this daemon's own callers come first.
+    bool may_pass{true};
+    base::instant deadline{};
+    // Workers and peers that are left out.
+    std::vector<base::endpoint> avoid{};
+};
+
 using member_pointer =
     std::shared_ptr<const decision::membership::member_snapshot>;
 
@@ -49,6 +68,9 @@
     placement(
         boost::asio::any_io_executor executor,
         const schema::daemon_settings& settings);
+    ~placement();
+    placement(const placement&) = delete;
+    placement& operator=(const placement&) = delete;
 
     // Takes over the workers that the configuration gives to this daemon;
     // running requests keep their slots.
@@ -71,21 +93,47 @@
         return *configuration_;
     }
 
-    // `may_pass` is false for a request that a peer passed on already.
-    placed place(std::string_view service, bool may_pass);
+    // At once: an own worker, else a peer, else a refusal. `may_pass` is
+    // false for a request that a peer passed on already. Workers and peers at
+    // the addresses in `avoid` are left out.
+    placed place(
+        std::string_view service,
+        bool may_pass,
+        std::span<const base::endpoint> avoid = {},
+        schema::priority priority = schema::priority::interactive);
+
+    // The same, but waits for an own slot before it refuses for want of room.
+    boost::asio::awaitable<placed> place_in_time(place_request request);
+
+    // The peer refused for want of room, without running the request.
+    void note_peer_refused(std::string_view peer, std::string_view service);
+
+    const decision::drains::drained& drained() const { return drained_; }
 
-    // Capacity that the named daemon owns by the configuration.
+    // Slots that this daemon owns of the service, and how many it would admit
+    // now.
     capacity own_capacity(std::string_view service) const;
-    std::uint32_t slots_of(
-        std::string_view daemon, const schema::service& service) const;
+    // The same of a member, by its last report.
+    reported_room room_of(
+        const decision::membership::member& peer,
+        std::string_view service) const;
 
 private:
-    using pools = std::vector<std::shared_ptr<worker_pool>>;
+    using pool_pointer = std::shared_ptr<worker_pool>;
 
     std::optional<std::string_view> owner_of(const schema::worker& one) const;
     bool owns(const schema::worker& one) const;
+    bool may_dispatch() const;
+    void rebuild();
     void rebuild_pools();
-    std::optional<peer_target> choose_peer(const schema::service& service);
+    void apply_drains();
+    void count_configured_slots();
+    std::uint32_t configured_slots(
+        std::string_view daemon, std::string_view service) const;
+    pool_pointer make_pool(const schema::worker& one) const;
+    placed hold(const base::endpoint& worker);
+    std::optional<peer_target> choose_peer(
+        std::string_view service, std::span<const base::endpoint> avoid);
 
     boost::asio::any_io_executor executor_;
     const schema::daemon_settings& settings_;
@@ -94,8 +142,17 @@
     member_pointer members_;
     std::optional<decision::ownership::owned_workers> ownership_;
     std::shared_ptr<const decision::records::configuration> configuration_;
-    std::map<std::string, pools, std::less<>> owned_;
-    std::size_t next_peer_{0};
+    decision::drains::drained drained_;
+    std::shared_ptr<slot_queue> slots_;
+    std::shared_ptr<worker_health> health_;
+    peer_rooms peers_;
+    std::map<base::endpoint, pool_pointer> pools_;
+    // By daemon and service, by rendezvous hashing over the settings.
+    std::map<
+        std::string,
+        std::map<std::string, std::uint32_t, std::less<>>,
+        std::less<>>
+        configured_slots_;
 };
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving/worker_pool.hpp
+++ b/packages/daemon/serving/worker_pool.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -36,6 +37,25 @@
     std::shared_ptr<worker_pool> pool_;
 };
 
+// What an exchange says of the worker.
+enum class worker_verdict : std::uint8_t
+{
+    // A whole answer that is no server error.
+    answered,
+    // It refused without running, or no connection could be made.
+    refused,
+    // A server error, or no whole answer: says nothing of its room.
+    failed,
+};
+
+// What the owner of a pool is told; either may be empty.
+struct worker_events
+{
+    std::function<void(worker_verdict)> ended{};
+    // A slot hold ended.
+    std::function<void()> released{};
+};
+
 // Invariant: `in_use() <= slots()` as far as this daemon admits; idle
 // connections ended their last exchange well.
 class worker_pool
@@ -43,7 +63,8 @@
 public:
     worker_pool(
         const boost::asio::any_io_executor& executor,
-        const schema::worker& worker);
+        const schema::worker& worker,
+        worker_events events = {});
 
     const base::endpoint& address() const { return worker_.address; }
     std::uint32_t slots() const { return worker_.slots; }
@@ -61,11 +82,14 @@
 private:
     friend class slot_hold;
 
+    void tell(worker_verdict verdict) const;
+
     std::unique_ptr<net::http_connection> take_kept(
         base::duration proven_within);
 
     boost::asio::any_io_executor executor_;
     schema::worker worker_;
+    worker_events events_;
     std::uint32_t in_use_{0};
     std::vector<std::unique_ptr<net::http_connection>> idle_;
 };
--- a/packages/decision/limits/admission.cpp
+++ b/packages/decision/limits/admission.cpp
@@ -28,7 +28,7 @@
     {
         // Rounding the running sum down, and not each part, loses nothing.
         slots_before += own;
-        const auto due = held * slots_before / total;
+        const auto due = total == 0 ? 0 : held * slots_before / total;
         out.push_back(static_cast<std::uint32_t>(due - given));
         given = due;
     }
--- a/tests/decision/limits/admission_test.cpp
+++ b/tests/decision/limits/admission_test.cpp
@@ -58,7 +58,7 @@
         {
             const auto slots = *rc::gen::nonEmpty(
                 rc::gen::container<std::vector<std::uint32_t>>(
-                    rc::gen::inRange<std::uint32_t>(1, 9)));
+                    rc::gen::inRange<std::uint32_t>(0, 9)));
             const auto total =
                 std::accumulate(slots.begin(), slots.end(), std::uint32_t{0});
             const auto cap = *rc::gen::inRange<std::uint32_t>(0, total + 3);
