--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -54,7 +54,10 @@
 {
     std::vector<ranked_entry> out;
     const auto& drained = places.drained();
-    if (!drained.includes_entry(settings.name, settings.zone))
+    const bool named_self =
+        !places.leaving() &&
+        !drained.includes_entry(settings.name, settings.zone);
+    if (named_self)
     {
         const auto own = places.own_capacity(service.name);
         out.push_back(
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -83,6 +83,10 @@
     // the first, rendezvous hashing over the settings' peers decides.
     void adopt_ownership(decision::ownership::owned_workers next);
 
+    // From here on this daemon names itself to no caller.
+    void set_leaving() { leaving_ = true; }
+    bool leaving() const { return leaving_; }
+
     const decision::membership::member_snapshot& members() const
     {
         return *members_;
@@ -153,6 +157,7 @@
         std::map<std::string, std::uint32_t, std::less<>>,
         std::less<>>
         configured_slots_;
+    bool leaving_{false};
 };
 
 } // namespace waxwingvalve::daemon::serving
