Records: daemons learn of configurations from peers and only go upwards

Cause: each daemon read the store twice a second and knew no other source. Shown failing before (adoption_test, the same cases on the old code): after an outage right after the accept the other ten daemons stayed behind; a replaced daemon adopted revision 1 from a stale read after its predecessor had had 2; a daemon frozen across two revisions and the replaced daemons of a zone never caught up in an outage.

Now a daemon asks the store and peers, those of its zone first, before it hands over a first revision; takes only a higher revision, and only when what was read covers the head; tells three peers of each adoption; asks one peer a second; and reads the store the less often the more peers it reaches. Deltas come by revision, from the log rows or from the peer. A record that cannot be read or is not signed is logged as record_unreadable and the last good one stays in force.

After: the 5 cases of adoption_test pass, and in each the adopted revisions of every daemon, over its restarts too, never fall; all 15 test programs pass.

Ruled out on the way: an aggregate made inside a co_await expression.

--- a/packages/cli/record_store.hpp
+++ b/packages/cli/record_store.hpp
@@ -109,7 +109,7 @@
             std::from_chars(text.data(), text.data() + text.size(), at);
             out.head_version = head.value()->version;
         }
-        out.value = load_configuration(at, changes, {}).value;
+        out.value = apply_changes({}, at, changes).value;
         co_return out;
     }
 
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -82,17 +82,22 @@
         records_duty records{settings, counts, [&](configuration_pointer next) {
                                  return serving.offer(std::move(next));
                              }};
+        serving.on_hint([&](configuration_hint heard)
+                        { records.hint(std::move(heard)); });
         const stop_signals signals{signal_context, serving};
 
         if (auto started = operators.start(); !started)
         {
             return report(started.error());
         }
+        if (auto started = records.start(); !started)
+        {
+            return report(started.error());
+        }
         if (auto started = serving.start(); !started)
         {
             return report(started.error());
         }
-        records.start();
         std::thread signal_thread{[&] { signal_context.run(); }};
         log_event(
             log_level::info,
--- a/packages/daemon/records_duty.cpp
+++ b/packages/daemon/records_duty.cpp
@@ -1,5 +1,6 @@
 #include "daemon/records_duty.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,21 +10,26 @@
 
 #include "base/log.hpp"
 #include "decision/records/layout.hpp"
+#include "net/http_client.hpp"
 
 namespace waxwingvalve::daemon
 {
 
 namespace asio = boost::asio;
+using namespace decision::records;
 using base::log_channel;
 using base::log_event;
 using base::log_level;
-using decision::records::revision;
 
 namespace
 {
 
-constexpr std::chrono::milliseconds poll_period{500};
 constexpr std::chrono::milliseconds platform_timeout{1000};
+constexpr std::chrono::milliseconds peer_timeout{300};
+constexpr std::chrono::milliseconds peer_period{1000};
+constexpr std::size_t peers_told = 3;
+constexpr std::size_t peers_asked_first = 3;
+constexpr std::size_t peer_answers_kept = 8;
 
 revision to_revision(const std::string& text)
 {
@@ -32,14 +38,41 @@
     return out;
 }
 
+asio::awaitable<void> wait_for(asio::io_context& context, base::duration time)
+{
+    asio::steady_timer timer{context};
+    timer.expires_after(time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+void log_refused(std::string_view key, const base::error& reason)
+{
+    log_event(
+        log_level::error,
+        log_channel::records,
+        "record_unreadable",
+        "key",
+        key,
+        "reason",
+        to_string(reason));
+}
+
 } // namespace
 
 records_duty::records_duty(
     const schema::daemon_settings& settings,
     figures& counts,
     std::function<bool(configuration_pointer)> deliver)
-    : context_{1}, counts_{counts}, deliver_{std::move(deliver)},
-      table_{settings.platform.table, platform_timeout}
+    : context_{1}, settings_{settings}, counts_{counts}, deliver_{std::move(
+                                                             deliver)},
+      table_{settings.platform.table, platform_timeout},
+      hints_{
+          context_,
+          [this](configuration_hint heard) {
+              asio::co_spawn(
+                  context_, ask_hinted(std::move(heard)), asio::detached);
+          }},
+      known_{std::make_shared<configuration>()}
 {
 }
 
@@ -48,10 +81,22 @@
     stop();
 }
 
-void records_duty::start()
+base::result<void> records_duty::start()
 {
-    asio::co_spawn(context_, poll(), asio::detached);
+    if (settings_.operator_keys_file.empty())
+    {
+        log_event(
+            log_level::warning, log_channel::records, "signatures_unchecked");
+    }
+    else
+    {
+        BOOST_OUTCOME_TRY(
+            const auto text, schema::read_file(settings_.operator_keys_file));
+        BOOST_OUTCOME_TRY(keys_, parse_operator_keys(text));
+    }
+    asio::co_spawn(context_, run(), asio::detached);
     thread_ = std::thread{[this] { context_.run(); }};
+    return base::success();
 }
 
 void records_duty::stop()
@@ -63,23 +108,82 @@
     }
 }
 
-asio::awaitable<void> records_duty::poll()
+void records_duty::hint(configuration_hint heard)
+{
+    // A hint that finds the ring full is lost; the peers are asked anyway.
+    hints_.push(std::move(heard));
+}
+
+asio::awaitable<void> records_duty::run()
 {
-    asio::steady_timer timer{context_};
+    co_await ask_all_first();
+    asio::co_spawn(context_, ask_peers(), asio::detached);
     while (true)
     {
-        co_await poll_once();
-        timer.expires_after(poll_period);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await wait_for(
+            context_, next_store_read(peers_reached(), random_share()));
+        co_await read_store();
+        hand_over();
     }
 }
 
-asio::awaitable<void> records_duty::poll_once()
+// The highest of the store and the peers of the own zone, or of any zone
+// when this one has none.
+asio::awaitable<void> records_duty::ask_all_first()
+{
+    co_await read_store();
+    std::vector<peer_pointer> order;
+    for (const auto& peer : settings_.peers)
+    {
+        order.push_back(&peer);
+    }
+    std::ranges::shuffle(order, random_);
+    std::ranges::stable_partition(
+        order, [&](peer_pointer peer) { return peer->zone == settings_.zone; });
+    std::size_t answered = 0;
+    for (const auto* peer : order)
+    {
+        answered += co_await ask_peer(peer) ? 1 : 0;
+        if (answered == peers_asked_first)
+        {
+            break;
+        }
+    }
+    asked_all_ = true;
+    hand_over();
+}
+
+asio::awaitable<void> records_duty::ask_peers()
+{
+    while (!settings_.peers.empty())
+    {
+        co_await wait_for(
+            context_,
+            std::chrono::duration_cast<base::duration>(
+                peer_period * (0.5 + random_share())));
+        co_await ask_peer(any_peer());
+    }
+}
+
+asio::awaitable<void> records_duty::ask_hinted(configuration_hint heard)
+{
+    const auto peer = std::ranges::find(
+        settings_.peers, heard.from, &schema::peer_settings::name);
+    if (asking_hinted_ || heard.revision <= known_->revision ||
+        peer == settings_.peers.end())
+    {
+        co_return;
+    }
+    asking_hinted_ = true;
+    co_await ask_peer(&*peer);
+    asking_hinted_ = false;
+}
+
+asio::awaitable<bool> records_duty::read_store()
 {
-    using namespace decision::records;
     counts_.platform_reads.fetch_add(1, std::memory_order_relaxed);
-    const auto head = co_await table_.read(head_table, head_key);
-    if (!head)
+    const auto row = co_await table_.read(head_table, head_key);
+    if (!row)
     {
         counts_.platform_failures.fetch_add(1, std::memory_order_relaxed);
         log_event(
@@ -87,44 +191,203 @@
             log_channel::platform,
             "head_unread",
             "reason",
-            to_string(head.error()));
-        co_return;
+            to_string(row.error()));
+        co_return false;
     }
-    if (!head.value() || to_revision(head.value()->value) <= delivered_)
+    const auto head = row.value() ? to_revision(row.value()->value) : 0;
+    if (head <= known_->revision)
     {
-        co_return;
+        co_return true;
     }
-    const auto at = to_revision(head.value()->value);
-    const auto rows = co_await table_.scan(records_table, "");
-    if (!rows)
+    auto changes = co_await read_changes(head);
+    if (!changes || !covers(*changes, head))
     {
-        co_return;
+        log_event(
+            log_level::warning,
+            log_channel::platform,
+            "records_stale",
+            "head",
+            head);
+        co_return true;
+    }
+    take(head, std::move(*changes), "store");
+    co_return true;
+}
+
+asio::awaitable<std::optional<std::vector<accepted_change>>>
+records_duty::read_changes(revision head)
+{
+    std::vector<platform::table_row> rows;
+    const auto own = known_->revision;
+    if (plan_store_reading(own, head) == store_reading::log_rows)
+    {
+        for (auto at = own + 1; at <= head; ++at)
+        {
+            counts_.platform_reads.fetch_add(1, std::memory_order_relaxed);
+            auto row = co_await table_.read(log_table, log_key(at));
+            if (!row || !row.value())
+            {
+                co_return std::nullopt;
+            }
+            rows.push_back(std::move(*row.value()));
+        }
+    }
+    else
+    {
+        counts_.platform_reads.fetch_add(1, std::memory_order_relaxed);
+        auto all = co_await table_.scan(records_table, "");
+        if (!all)
+        {
+            co_return std::nullopt;
+        }
+        rows = std::move(all).value();
     }
-    std::vector<accepted_change> changes;
-    for (const auto& row : rows.value())
+    std::vector<accepted_change> out;
+    for (const auto& row : rows)
     {
-        if (auto change = parse_change(row.value))
+        auto change = parse_change(row.value);
+        if (!change)
         {
-            changes.push_back(std::move(change).value());
+            log_refused(row.key, change.error());
+            continue;
         }
+        out.push_back(std::move(change).value());
     }
-    auto loaded = load_configuration(at, changes, {});
+    co_return out;
+}
+
+asio::awaitable<bool> records_duty::ask_peer(peer_pointer peer)
+{
+    // Named, because GCC 12 destroys an aggregate that is a temporary of a
+    // co_await expression twice.
+    net::http_request request{
+        .method = "GET", .target = configuration_target(known_->revision)};
+    const auto answer = co_await net::fetch(
+        peer->caller_address,
+        std::move(request),
+        base::monotonic_clock::now() + peer_timeout);
+    note_peer_answer(answer.has_value());
+    if (!answer)
+    {
+        co_return false;
+    }
+    auto heard = parse_configuration_answer(answer.value().body);
+    if (!heard)
+    {
+        log_refused(peer->name, heard.error());
+        co_return true;
+    }
+    if (heard.value().revision > known_->revision)
+    {
+        take(
+            heard.value().revision,
+            std::move(heard.value().changes),
+            peer->name);
+        hand_over();
+    }
+    co_return true;
+}
+
+void records_duty::take(
+    revision at, std::vector<accepted_change> changes, std::string_view source)
+{
+    // An answer that was under way while another one was taken.
+    if (at <= known_->revision)
+    {
+        return;
+    }
+    const auto checked =
+        check_signatures(std::move(changes), keys_ ? &*keys_ : nullptr);
+    for (const auto& [key, reason] : checked.refused)
+    {
+        log_refused(key, reason);
+    }
+    auto loaded = apply_changes(*known_, at, checked.kept);
     for (const auto& [key, reason] : loaded.unreadable)
     {
-        log_event(
-            log_level::error,
-            log_channel::records,
-            "record_unreadable",
-            "key",
-            key,
-            "reason",
-            to_string(reason));
+        log_refused(key, reason);
     }
-    auto next = std::make_shared<configuration>(std::move(loaded.value));
-    if (deliver_(std::move(next)))
+    log_event(
+        log_level::info,
+        log_channel::records,
+        "configuration_learnt",
+        "revision",
+        at,
+        "source",
+        source);
+    known_ = std::make_shared<configuration>(std::move(loaded.value));
+}
+
+void records_duty::hand_over()
+{
+    if (!asked_all_ || known_->revision <= handed_over_)
+    {
+        return;
+    }
+    if (!deliver_(known_))
+    {
+        return;
+    }
+    handed_over_ = known_->revision;
+    tell_peers();
+}
+
+void records_duty::tell_peers()
+{
+    for (std::size_t told = 0; told < peers_told; ++told)
+    {
+        if (const auto* peer = any_peer())
+        {
+            asio::co_spawn(context_, send_hint(peer), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> records_duty::send_hint(peer_pointer peer)
+{
+    // Lost hints cost time, not the change: every daemon asks peers anyway.
+    const configuration_hint own{settings_.name, known_->revision};
+    net::http_request request{.method = "GET", .target = hint_target(own)};
+    co_await net::fetch(
+        peer->caller_address,
+        std::move(request),
+        base::monotonic_clock::now() + peer_timeout);
+}
+
+records_duty::peer_pointer records_duty::any_peer()
+{
+    if (settings_.peers.empty())
+    {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> at{
+        0, settings_.peers.size() - 1};
+    return &settings_.peers[at(random_)];
+}
+
+double records_duty::random_share()
+{
+    return std::uniform_real_distribution<double>{0.0, 1.0}(random_);
+}
+
+void records_duty::note_peer_answer(bool answered)
+{
+    peer_answers_.push_back(answered);
+    if (peer_answers_.size() > peer_answers_kept)
+    {
+        peer_answers_.pop_front();
+    }
+}
+
+std::size_t records_duty::peers_reached() const
+{
+    if (peer_answers_.empty())
     {
-        delivered_ = at;
+        return 0;
     }
+    const auto answered =
+        static_cast<std::size_t>(std::ranges::count(peer_answers_, true));
+    return settings_.peers.size() * answered / peer_answers_.size();
 }
 
 } // namespace waxwingvalve::daemon
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -45,8 +45,7 @@
       server_{
           context_,
           to_limits(settings.limits),
-          {.fast = [this](const net::http_request& in)
-           { return front_.answer_now(in); },
+          {.fast = [this](const net::http_request& in) { return answer(in); },
            .route = [this](net::http_request in)
            { return serve(std::move(in)); },
            .refuse =
@@ -82,6 +81,16 @@
     return base::success();
 }
 
+std::optional<net::http_response> serving_duty::answer(
+    const net::http_request& in)
+{
+    if (auto page = answer_configuration(in, places_.in_force(), hints_))
+    {
+        return page;
+    }
+    return front_.answer_now(in);
+}
+
 bool serving_duty::offer(configuration_pointer next)
 {
     return configurations_.push(std::move(next));
--- a/packages/daemon/serving_duty.hpp
+++ b/packages/daemon/serving_duty.hpp
@@ -11,6 +11,7 @@
 
 #include "base/latency.hpp"
 #include "base/result.hpp"
+#include "daemon/configuration_page.hpp"
 #include "daemon/duty_link.hpp"
 #include "daemon/figures.hpp"
 #include "daemon/serving/front.hpp"
@@ -37,6 +38,10 @@
     // Errors: address_in_use.
     base::result<void> start();
 
+    // Who is told of peers' newer configurations, on the serving thread; to
+    // be set before start().
+    void on_hint(hint_receiver receive) { hints_ = std::move(receive); }
+
     // Hands a newer configuration over; called by the records duty.
     bool offer(configuration_pointer next);
 
@@ -49,6 +54,7 @@
 
 private:
     void adopt(configuration_pointer next);
+    std::optional<net::http_response> answer(const net::http_request& in);
     boost::asio::awaitable<std::optional<net::http_response>> serve(
         net::http_request in);
     base::duration longest_list_lifetime() const;
@@ -65,6 +71,7 @@
     serving::front front_;
     net::http_server server_;
     duty_link<configuration_pointer> configurations_;
+    hint_receiver hints_;
     std::thread thread_;
 };
 
--- a/packages/decision/records/configuration.cpp
+++ b/packages/decision/records/configuration.cpp
@@ -57,13 +57,19 @@
     out.value.revision = at;
     for (const auto& change : changes)
     {
+        const auto known = out.value.changes.find(change.key);
+        if (known != out.value.changes.end() &&
+            known->second.revision >= change.revision)
+        {
+            continue;
+        }
+        out.value.changes.insert_or_assign(change.key, change);
         auto parsed = schema::parse_record(change.record_json);
         if (!parsed)
         {
             out.unreadable.push_back({change.key, parsed.error()});
             continue;
         }
-        out.value.changes.insert_or_assign(change.key, change);
         if (std::visit(retired_of{}, parsed.value().body))
         {
             out.value.by_key.erase(change.key);
@@ -75,26 +81,4 @@
     return out;
 }
 
-loaded_configuration load_configuration(
-    revision at,
-    std::span<const accepted_change> changes,
-    const configuration& before)
-{
-    auto out = apply_changes({}, at, changes);
-    for (const auto& [key, reason] : out.unreadable)
-    {
-        if (const auto good = before.by_key.find(key);
-            good != before.by_key.end())
-        {
-            out.value.by_key.insert(*good);
-        }
-        if (const auto good = before.changes.find(key);
-            good != before.changes.end())
-        {
-            out.value.changes.insert(*good);
-        }
-    }
-    return out;
-}
-
 } // namespace waxwingvalve::decision::records
--- a/packages/decision/records/configuration.hpp
+++ b/packages/decision/records/configuration.hpp
@@ -27,8 +27,8 @@
 {
     records::revision revision{};
     std::map<std::string, schema::record, std::less<>> by_key{};
-    // What each record in force came from, retired ones included; this is
-    // what a daemon hands to a peer.
+    // The newest accepted change of each record, retired and unreadable ones
+    // included; this is what a daemon hands to a peer.
     std::map<std::string, accepted_change, std::less<>> changes{};
 
     const schema::service* find_service(std::string_view name) const;
@@ -52,14 +52,9 @@
     std::vector<unreadable_record> unreadable{};
 };
 
-// Reads all accepted changes of one revision. Where one cannot be read, the
-// record of that key in `before` stays in force.
-loaded_configuration load_configuration(
-    records::revision at,
-    std::span<const accepted_change> changes,
-    const configuration& before);
-
-// `before` with one accepted change more; takes no heed of revisions.
+// `before` at a higher revision with the newest change of some records. A
+// change that is older than the one known of its record is passed over, and
+// where a record cannot be read, the last good one of its key stays in force.
 loaded_configuration apply_changes(
     configuration before,
     records::revision at,
--- a/packages/schema/settings.cpp
+++ b/packages/schema/settings.cpp
@@ -264,6 +264,7 @@
     BOOST_OUTCOME_TRY(check_limits(limits));
     out.limits = to_limits(limits);
     BOOST_OUTCOME_TRY(out.log_level, to_log_level(in.log_level));
+    out.operator_keys_file = in.operator_keys_file;
     return out;
 }
 
--- a/packages/schema/settings.hpp
+++ b/packages/schema/settings.hpp
@@ -55,6 +55,8 @@
     std::vector<peer_settings> peers{};
     limit_settings limits{};
     base::log_level log_level{base::log_level::info};
+    // Empty when signatures are not checked.
+    std::string operator_keys_file{};
 };
 
 struct operator_settings
--- a/tests/stand_ins/platform/main.cpp
+++ b/tests/stand_ins/platform/main.cpp
@@ -5,6 +5,8 @@
 //   lose_writes (number)  so many next writes take effect, unanswered
 //   stale_reads (number)  so many next reads of tables see the rows as they
 //                         were when this was set
+//   capture (bool)        whether the rows of now are the ones that stale
+//                         reads see; alone, without any stale read yet
 //   vms (array)           the VM list, from now on
 // GET /control tells how many reads and writes were served.
 #include <chrono>
@@ -101,6 +103,11 @@
         if (const auto* stale = in.if_contains("stale_reads"))
         {
             stale_reads_ = stale->as_int64();
+        }
+        const auto* capture = in.if_contains("capture");
+        if (capture != nullptr ? capture->as_bool()
+                               : in.contains("stale_reads"))
+        {
             stale_tables_ = tables_;
         }
         if (const auto* vms = in.if_contains("vms"))
