Daemon: a members duty decides who dispatches to which worker

The serving thread dispatches only by the newest set of owned workers and only until its dispatch_until, and confirms the version it dispatches by; before the first set it owns nothing. A planned stop tells the zone and hands its workers over.

Found on the way: GCC 12 destroys a braced temporary in a co_await expression twice (free(): invalid pointer in http_vm_list::read, which nothing had called before); the requests there and in http_object_store are named now.

Ruled out: dispatching by rendezvous until the first answer of the zone, which would let a restarted daemon dispatch before it has asked.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log.hpp"
 #include "daemon/figures.hpp"
+#include "daemon/members_duty.hpp"
 #include "daemon/operators_duty.hpp"
 #include "daemon/records_duty.hpp"
 #include "daemon/serving_duty.hpp"
@@ -40,17 +41,20 @@
 class stop_signals
 {
 public:
-    stop_signals(asio::io_context& context, serving_duty& serving)
+    stop_signals(
+        asio::io_context& context, serving_duty& serving, members_duty& members)
         : signals_{context, SIGTERM, SIGINT}
     {
         signals_.async_wait(
-            [this, &serving](const boost::system::error_code& failure, int)
+            [this, &serving, &members](
+                const boost::system::error_code& failure, int)
             {
                 if (failure)
                 {
                     return;
                 }
                 log_event(log_level::info, log_channel::daemon, "planned_stop");
+                members.begin_stop();
                 serving.begin_stop();
                 signals_.async_wait(
                     [](const boost::system::error_code& second, int)
@@ -82,12 +86,27 @@
         records_duty records{settings, counts, [&](configuration_pointer next) {
                                  return serving.offer(std::move(next));
                              }};
-        const stop_signals signals{signal_context, serving};
+        members_duty members{
+            settings,
+            counts,
+            {.members = [&](serving::member_pointer next)
+             { return serving.offer_members(std::move(next)); },
+             .owned = [&](decision::ownership::owned_workers next)
+             { return serving.offer_ownership(std::move(next)); }}};
+        serving.report_to([&](serving_report report)
+                          { return members.offer(std::move(report)); });
+        const stop_signals signals{signal_context, serving, members};
 
         if (auto started = operators.start(); !started)
         {
             return report(started.error());
         }
+        // The serving thread reports to the members duty, which has to outlive
+        // it: nothing may fail after it runs.
+        if (auto started = members.start(); !started)
+        {
+            return report(started.error());
+        }
         if (auto started = serving.start(); !started)
         {
             return report(started.error());
@@ -105,6 +124,7 @@
             "address",
             base::to_string(settings.caller_address));
         serving.join();
+        members.end_stop();
         signal_context.stop();
         signal_thread.join();
     }
--- a/packages/daemon/figures.hpp
+++ b/packages/daemon/figures.hpp
@@ -26,6 +26,8 @@
     std::atomic<std::uint64_t> platform_failures{0};
     std::atomic<std::uint64_t> connections{0};
     std::atomic<std::uint64_t> running{0};
+    // Upstream workers that this daemon alone dispatches to.
+    std::atomic<std::uint64_t> owned_workers{0};
     base::published<base::latency_summary> request_latency;
 };
 
--- a/packages/daemon/operators_duty.cpp
+++ b/packages/daemon/operators_duty.cpp
@@ -36,7 +36,8 @@
         {"refused", counts.refused.load()},
         {"passed_to_peers", counts.passed_to_peers.load()},
         {"connections", counts.connections.load()},
-        {"running", counts.running.load()}});
+        {"running", counts.running.load()},
+        {"owned_workers", counts.owned_workers.load()}});
 }
 
 } // namespace
--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -79,18 +79,70 @@
 
 void placement::adopt_ownership(decision::ownership::owned_workers next)
 {
+    const bool changed = next.version != ownership_.version;
     ownership_ = std::move(next);
-    rebuild_pools();
+    if (changed)
+    {
+        rebuild_pools();
+    }
 }
 
 bool placement::owns(const schema::worker& one) const
 {
-    if (ownership_)
+    return ownership_.addresses.contains(one.address);
+}
+
+bool placement::may_dispatch() const
+{
+    return ownership_.may_dispatch &&
+           base::monotonic_clock::now() < ownership_.dispatch_until;
+}
+
+// Requests of a daemon that is gone may still occupy slots.
+std::uint32_t placement::free_slots(const worker_pool& pool) const
+{
+    const auto inherited = ownership_.inherited.find(pool.address());
+    const auto taken =
+        inherited == ownership_.inherited.end() ? 0 : inherited->second.taken;
+    return pool.free_slots() - std::min(pool.free_slots(), taken);
+}
+
+decision::ownership::serving_state placement::ownership_state() const
+{
+    decision::ownership::serving_state out{ownership_.version, {}};
+    for (const auto& [name, all] : owned_)
     {
-        return ownership_->may_dispatch &&
-               ownership_->addresses.contains(one.address);
+        for (const auto& pool : all)
+        {
+            if (pool->in_use() > 0)
+            {
+                out.running.insert(pool->address());
+            }
+        }
     }
-    return owner_of(one) == settings_.name;
+    for (const auto& one : dropped_)
+    {
+        const auto pool = one.lock();
+        if (pool && pool->in_use() > 0)
+        {
+            out.running.insert(pool->address());
+        }
+    }
+    return out;
+}
+
+std::vector<schema::service_room> placement::rooms() const
+{
+    std::vector<schema::service_room> out;
+    for (const auto& [name, all] : owned_)
+    {
+        const auto room = own_capacity(name);
+        if (room.slots > 0)
+        {
+            out.push_back({name, room.slots, room.free});
+        }
+    }
+    return out;
 }
 
 void placement::rebuild_pools()
@@ -122,6 +174,18 @@
             now.back()->set_slots(one.slots);
         }
     }
+    std::erase_if(dropped_, [](const auto& one) { return one.expired(); });
+    for (const auto& [name, all] : owned_)
+    {
+        for (const auto& pool : all)
+        {
+            if (pool->in_use() > 0 &&
+                !ownership_.addresses.contains(pool->address()))
+            {
+                dropped_.push_back(pool);
+            }
+        }
+    }
     owned_ = std::move(owned);
 }
 
@@ -136,7 +200,7 @@
     for (const auto& pool : found->second)
     {
         out.slots += pool->slots();
-        out.free += pool->free_slots();
+        out.free += free_slots(*pool);
     }
     return out;
 }
@@ -177,8 +241,8 @@
     }
     const auto& own = owned_[record->name];
     const auto freest = std::ranges::max_element(
-        own, {}, [](const auto& pool) { return pool->free_slots(); });
-    if (freest != own.end() && (*freest)->free_slots() > 0)
+        own, {}, [this](const auto& pool) { return free_slots(*pool); });
+    if (freest != own.end() && may_dispatch() && free_slots(**freest) > 0)
     {
         log_event(
             log_level::info,
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -17,6 +17,7 @@
 #include "daemon/serving/worker_pool.hpp"
 #include "decision/membership/member_snapshot.hpp"
 #include "decision/ownership/owned_workers.hpp"
+#include "decision/ownership/zone_ownership.hpp"
 #include "decision/records/configuration.hpp"
 #include "schema/settings.hpp"
 
@@ -58,9 +59,14 @@
     void adopt_members(member_pointer next);
 
     // Takes a newer set of workers that this daemon may dispatch to. Before
-    // the first, rendezvous hashing over the settings' peers decides.
+    // the first there is none.
     void adopt_ownership(decision::ownership::owned_workers next);
 
+    // Version of that set, and the workers that requests run on now, whether
+    // owned still or not.
+    decision::ownership::serving_state ownership_state() const;
+    std::vector<schema::service_room> rooms() const;
+
     // From here on this daemon names itself to no caller.
     void set_leaving() { leaving_ = true; }
     bool leaving() const { return leaving_; }
@@ -75,6 +81,12 @@
         return *configuration_;
     }
 
+    const std::shared_ptr<const decision::records::configuration>&
+    in_force_pointer() const
+    {
+        return configuration_;
+    }
+
     // `may_pass` is false for a request that a peer passed on already.
     placed place(std::string_view service, bool may_pass);
 
@@ -88,6 +100,10 @@
 
     std::optional<std::string_view> owner_of(const schema::worker& one) const;
     bool owns(const schema::worker& one) const;
+    // False while the newest set of owned workers is too old, as after a
+    // pause of this process.
+    bool may_dispatch() const;
+    std::uint32_t free_slots(const worker_pool& pool) const;
     void rebuild_pools();
     std::optional<peer_target> choose_peer(const schema::service& service);
 
@@ -96,9 +112,11 @@
     // Names of all daemons of each zone, this one included.
     std::map<std::string, std::vector<std::string>, std::less<>> zone_members_;
     member_pointer members_;
-    std::optional<decision::ownership::owned_workers> ownership_;
+    decision::ownership::owned_workers ownership_{.may_dispatch = false};
     std::shared_ptr<const decision::records::configuration> configuration_;
     std::map<std::string, pools, std::less<>> owned_;
+    // No longer owned, with requests that may still run.
+    std::vector<std::weak_ptr<worker_pool>> dropped_;
     std::size_t next_peer_{0};
     bool leaving_{false};
 };
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -54,9 +54,16 @@
            {
                return serving::make_refusal(reason, serving::outcome::not_run);
            }}},
-      configurations_{context_, [this](configuration_pointer next) {
-                          adopt(std::move(next));
-                      }}
+      configurations_{
+          context_,
+          [this](configuration_pointer next) { adopt(std::move(next)); }},
+      members_{
+          context_,
+          [this](serving::member_pointer next)
+          { places_.adopt_members(std::move(next)); }},
+      ownership_{context_, [this](decision::ownership::owned_workers next) {
+                     places_.adopt_ownership(std::move(next));
+                 }}
 {
 }
 
@@ -87,6 +94,27 @@
     return configurations_.push(std::move(next));
 }
 
+bool serving_duty::offer_members(serving::member_pointer next)
+{
+    return members_.push(std::move(next));
+}
+
+bool serving_duty::offer_ownership(decision::ownership::owned_workers next)
+{
+    return ownership_.push(std::move(next));
+}
+
+void serving_duty::report()
+{
+    if (report_)
+    {
+        report_(
+            {.state = places_.ownership_state(),
+             .configuration = places_.in_force_pointer(),
+             .rooms = places_.rooms()});
+    }
+}
+
 void serving_duty::adopt(configuration_pointer next)
 {
     // Copies can come late or twice: only a higher revision is taken.
@@ -161,6 +189,7 @@
     const auto now = base::monotonic_clock::now();
     counts_.connections.store(server_.connections());
     counts_.running.store(server_.running());
+    report();
     counts_.request_latency.set(latencies_.summary(now));
 
     const auto before = stop_.phase();
--- a/packages/daemon/serving_duty.hpp
+++ b/packages/daemon/serving_duty.hpp
@@ -1,6 +1,7 @@
 // The serving thread: callers, peers and upstreams meet here.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -13,6 +14,7 @@
 #include "base/result.hpp"
 #include "daemon/duty_link.hpp"
 #include "daemon/figures.hpp"
+#include "daemon/members_duty.hpp"
 #include "daemon/serving/front.hpp"
 #include "daemon/serving/placement.hpp"
 #include "decision/drains/planned_stop.hpp"
@@ -40,6 +42,15 @@
     // Hands a newer configuration over; called by the records duty.
     bool offer(configuration_pointer next);
 
+    // Hands newer views of the zone over; called by the members duty.
+    bool offer_members(serving::member_pointer next);
+    bool offer_ownership(decision::ownership::owned_workers next);
+    // Where to tell the members duty what it needs; set before start().
+    void report_to(std::function<bool(serving_report)> receive)
+    {
+        report_ = std::move(receive);
+    }
+
     // A planned stop (decision/drains/planned_stop.hpp), which ends the
     // thread. Returns at once.
     void begin_stop();
@@ -54,6 +65,7 @@
     base::duration longest_list_lifetime() const;
     void tick_later();
     void tick();
+    void report();
 
     boost::asio::io_context context_;
     const schema::daemon_settings& settings_;
@@ -65,6 +77,9 @@
     serving::front front_;
     net::http_server server_;
     duty_link<configuration_pointer> configurations_;
+    duty_link<serving::member_pointer> members_;
+    duty_link<decision::ownership::owned_workers> ownership_;
+    std::function<bool(serving_report)> report_;
     std::thread thread_;
 };
 
--- a/packages/decision/membership/swim.cpp
+++ b/packages/decision/membership/swim.cpp
@@ -128,12 +128,12 @@
     {
         return;
     }
+    // Its own zone knows it; others may have dropped it from what they keep.
     std::vector<std::string> helpers;
     for (const auto& [name, other] : members_)
     {
-        const bool near = other.report.zone == target->second.report.zone ||
-                          other.report.zone == self_.zone;
-        if (name != one.target && near && !other.dead && !other.suspect)
+        if (name != one.target && !other.dead && !other.suspect &&
+            other.report.zone == target->second.report.zone)
         {
             helpers.push_back(name);
         }
--- a/packages/platform/http_object_store.cpp
+++ b/packages/platform/http_object_store.cpp
@@ -22,10 +22,10 @@
 asio::awaitable<base::result<std::string>> http_object_store::get(
     std::string_view name)
 {
+    // Named, because GCC 12 destroys such a temporary twice in a coroutine.
+    net::http_request request{.method = "GET", .target = target_of(name)};
     auto answer = co_await net::fetch(
-        where_,
-        {.method = "GET", .target = target_of(name)},
-        base::monotonic_clock::now() + timeout_);
+        where_, std::move(request), base::monotonic_clock::now() + timeout_);
     if (!answer)
     {
         co_return boost::outcome_v2::failure(
--- a/packages/platform/http_vm_list.cpp
+++ b/packages/platform/http_vm_list.cpp
@@ -55,10 +55,10 @@
 
 asio::awaitable<base::result<std::vector<vm>>> http_vm_list::read()
 {
+    // Named, because GCC 12 destroys such a temporary twice in a coroutine.
+    net::http_request request{.method = "GET", .target = "/v1/vms"};
     const auto answer = co_await net::fetch(
-        where_,
-        {.method = "GET", .target = "/v1/vms"},
-        base::monotonic_clock::now() + timeout_);
+        where_, std::move(request), base::monotonic_clock::now() + timeout_);
     if (!answer)
     {
         co_return boost::outcome_v2::failure(
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -405,7 +405,34 @@
         revision = accept_record(service_record(service.name));
     }
     return revision == shape_.services.size() + 1 &&
-           wait_for_revision(revision);
+           wait_for_revision(revision) && wait_for_owners();
+}
+
+bool cluster::wait_for_owners()
+{
+    return wait_until([&] { return owned_workers() == workers_.size(); });
+}
+
+std::size_t cluster::owned_workers() const
+{
+    std::size_t out = 0;
+    for (const auto& entry : entries_)
+    {
+        out += owned_workers(entry);
+    }
+    return out;
+}
+
+std::size_t cluster::owned_workers(const entry_vm& entry) const
+{
+    const auto running = daemons_.find(entry.name);
+    if (running == daemons_.end() || !running->second->running())
+    {
+        return 0;
+    }
+    const auto status = get_json(entry.operator_address, "/v1/status");
+    const auto* found = status.if_contains("owned_workers");
+    return found == nullptr ? 0 : found->to_number<std::size_t>();
 }
 
 bool cluster::wait_for_revision(std::uint64_t revision)
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -81,6 +81,12 @@
     // Waits until all running daemons have at least this revision.
     bool wait_for_revision(std::uint64_t revision);
 
+    // Waits until every worker has a daemon that dispatches to it.
+    bool wait_for_owners();
+    // Workers that running daemons say they own.
+    std::size_t owned_workers() const;
+    std::size_t owned_workers(const entry_vm& entry) const;
+
     net::exchange_result call(
         const base::endpoint& where,
         const net::http_request& request,
