--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -42,8 +42,7 @@
 
 placement::placement(
     asio::any_io_executor executor, const schema::daemon_settings& settings)
-    : executor_{std::move(executor)}, settings_{settings},
-      members_{members_of_settings(settings)},
+    : executor_{std::move(executor)}, members_{members_of_settings(settings)},
       configuration_{std::make_shared<decision::records::configuration>()}
 {
     zone_members_[settings.zone].push_back(settings.name);
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -108,7 +108,6 @@
     std::optional<peer_target> choose_peer(const schema::service& service);
 
     boost::asio::any_io_executor executor_;
-    const schema::daemon_settings& settings_;
     // Names of all daemons of each zone, this one included.
     std::map<std::string, std::vector<std::string>, std::less<>> zone_members_;
     member_pointer members_;
--- /dev/null
+++ b/tests/end_to_end/ownership_test.cpp
@@ -0,0 +1,179 @@
+// Who dispatches to the workers of a zone when its daemons are killed,
+// frozen, stopped and restarted, as separate processes.
+#include <chrono>
+#include <fstream>
+#include <map>
+#include <string>
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "base/time.hpp"
+#include "harness/cluster.hpp"
+
+using namespace waxwingvalve;
+using std::chrono::seconds;
+
+namespace
+{
+
+harness::layout one_zone()
+{
+    return {
+        .name = "one-zone",
+        .zones = {{"isan", "isan-a", 2}},
+        .services = {{"hire-desk", 6, 6, "/bookings"}},
+        .zone_delay_us = 3000,
+        .region_delay_us = 20000};
+}
+
+struct running_zone
+{
+    running_zone()
+    {
+        cluster.start_platform();
+        cluster.start_upstreams();
+        cluster.start_daemons();
+        BOOST_REQUIRE(cluster.accept_layout());
+    }
+
+    const harness::entry_vm& first() { return cluster.entries().front(); }
+    const harness::entry_vm& second() { return cluster.entries().back(); }
+
+    std::size_t owned(const harness::entry_vm& entry)
+    {
+        return cluster.owned_workers(entry);
+    }
+
+    net::exchange_result look_up(const harness::entry_vm& entry)
+    {
+        return cluster.call(
+            entry.caller_address,
+            {.method = "GET",
+             .target = "/bulls/7",
+             .fields = {{"Waxwing-Service", "hire-desk"}}});
+    }
+
+    std::size_t runs()
+    {
+        std::size_t out = 0;
+        for (const auto& one : cluster.workers())
+        {
+            const auto said = cluster.get_json(one.address, "/control");
+            out += said.at("runs").as_array().size();
+        }
+        return out;
+    }
+
+    bool over_slots()
+    {
+        for (const auto& one : cluster.workers())
+        {
+            const auto said = cluster.get_json(one.address, "/control");
+            if (said.at("highest_running").to_number<std::uint32_t>() >
+                    one.slots ||
+                said.at("refused_over_slots").to_number<std::uint64_t>() > 0)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void print_time(const char* what, base::instant since)
+    {
+        BOOST_TEST_MESSAGE(
+            what << ": "
+                 << base::to_milliseconds(base::monotonic_clock::now() - since)
+                 << " ms");
+    }
+
+    harness::cluster cluster{one_zone()};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ownership, running_zone)
+
+BOOST_AUTO_TEST_CASE(each_worker_has_one_owner_at_the_start)
+{
+    BOOST_TEST(owned(first()) + owned(second()) == cluster.workers().size());
+    BOOST_TEST(look_up(first()).value().status == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(a_killed_daemons_workers_get_a_new_owner)
+{
+    const auto lost = owned(first());
+    const auto began = base::monotonic_clock::now();
+    cluster.daemon(first().name).kill();
+    BOOST_REQUIRE(harness::wait_until(
+        [&] { return owned(second()) == cluster.workers().size(); }));
+    BOOST_TEST_MESSAGE("workers of the killed daemon: " << lost);
+    print_time("idle after a kill", began);
+    BOOST_TEST(!over_slots());
+
+    // Restarted under its name, it gets its workers back by hand-over.
+    cluster.start_daemon(first().name);
+    BOOST_REQUIRE(harness::wait_until([&] { return owned(first()) == lost; }));
+    BOOST_REQUIRE(harness::wait_until(
+        [&] { return cluster.owned_workers() == cluster.workers().size(); }));
+    BOOST_TEST(!over_slots());
+}
+
+BOOST_AUTO_TEST_CASE(a_frozen_daemons_workers_stay_idle)
+{
+    const auto kept = owned(second());
+    const auto before = runs();
+    BOOST_REQUIRE(look_up(second()).has_value());
+    cluster.daemon(first().name).freeze();
+    // Longer than any timeout of membership, shorter than the tenure.
+    const auto moved = harness::wait_until(
+        [&] { return owned(second()) != kept; }, seconds{10});
+    BOOST_TEST(!moved);
+    BOOST_TEST(runs() >= before + 1);
+
+    const auto began = base::monotonic_clock::now();
+    cluster.daemon(first().name).thaw();
+    BOOST_REQUIRE(harness::wait_until(
+        [&] { return cluster.owned_workers() == cluster.workers().size(); }));
+    print_time("idle after a thaw", began);
+    BOOST_TEST(!over_slots());
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_hands_over)
+{
+    const auto began = base::monotonic_clock::now();
+    auto& daemon = cluster.daemon(first().name);
+    daemon.terminate();
+    // While it still serves on, the other daemon owns all.
+    BOOST_REQUIRE(harness::wait_until(
+        [&] { return owned(second()) == cluster.workers().size(); }));
+    print_time("idle in a planned stop", began);
+    BOOST_TEST(daemon.running());
+    BOOST_TEST(look_up(first()).value().status == 200U);
+    BOOST_TEST(!over_slots());
+}
+
+// The rule above has to hold at the moment of the thaw too: the log says
+// that all was dropped before anything was owned again.
+BOOST_AUTO_TEST_CASE(after_a_thaw_the_zone_is_asked_first)
+{
+    BOOST_REQUIRE(owned(first()) > 0);
+    auto& daemon = cluster.daemon(first().name);
+    daemon.freeze();
+    cluster.daemon(second().name).freeze();
+    harness::wait_until([] { return false; }, seconds{3});
+    const auto before = runs();
+    daemon.thaw();
+    // Its zone does not answer, so it must not dispatch; it may refuse.
+    const auto answer = look_up(first());
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer.value().status != 200U);
+    BOOST_TEST(runs() == before);
+    cluster.daemon(second().name).thaw();
+    BOOST_REQUIRE(harness::wait_until(
+        [&] { return cluster.owned_workers() == cluster.workers().size(); }));
+    BOOST_TEST(look_up(first()).value().status == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
