--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -87,22 +87,47 @@
 
 void placement::adopt_ownership(decision::ownership::owned_workers next)
 {
+    const bool changed = next.version != ownership_.version;
     ownership_ = std::move(next);
-    rebuild();
+    if (changed)
+    {
+        rebuild();
+    }
 }
 
 bool placement::owns(const schema::worker& one) const
 {
-    if (ownership_)
-    {
-        return ownership_->addresses.contains(one.address);
-    }
-    return owner_of(one) == settings_.name;
+    return ownership_.addresses.contains(one.address);
 }
 
 bool placement::may_dispatch() const
 {
-    return !ownership_ || ownership_->may_dispatch;
+    return ownership_.may_dispatch &&
+           base::monotonic_clock::now() < ownership_.dispatch_until;
+}
+
+decision::ownership::serving_state placement::ownership_state() const
+{
+    return {ownership_.version, slots_->admission().running_workers()};
+}
+
+std::vector<schema::service_room> placement::rooms() const
+{
+    std::vector<schema::service_room> out;
+    for (const auto& [key, record] : configuration_->by_key)
+    {
+        const auto* service = std::get_if<schema::service>(&record.body);
+        if (service == nullptr)
+        {
+            continue;
+        }
+        const auto room = own_capacity(service->name);
+        if (room.slots > 0)
+        {
+            out.push_back({service->name, room.slots, room.free});
+        }
+    }
+    return out;
 }
 
 void placement::rebuild()
--- a/packages/decision/limits/admission.hpp
+++ b/packages/decision/limits/admission.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -71,6 +72,8 @@
 
     room room_of(std::string_view service, base::instant now) const;
     std::uint32_t in_use(const base::endpoint& worker) const;
+    // Workers on which requests admitted here run, owned or no longer.
+    std::set<base::endpoint> running_workers() const;
     // Most requests at once since the last call; for reports on their way.
     std::uint32_t take_highest(const base::endpoint& worker);
     // Null for a worker that is not owned.
--- a/packages/platform/http_vm_list.cpp
+++ b/packages/platform/http_vm_list.cpp
@@ -55,6 +55,7 @@
 
 asio::awaitable<base::result<std::vector<vm>>> http_vm_list::read()
 {
+    // Named, because GCC 12 destroys such a temporary twice in a coroutine.
     net::http_request request{.method = "GET", .target = "/v1/vms"};
     const auto answer = co_await net::fetch(
         where_, std::move(request), base::monotonic_clock::now() + timeout_);
