--- a/packages/daemon/records_duty.cpp
+++ b/packages/daemon/records_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -57,6 +58,23 @@
         to_string(reason));
 }
 
+std::vector<accepted_change> parse_rows(
+    std::span<const platform::table_row> rows)
+{
+    std::vector<accepted_change> out;
+    for (const auto& row : rows)
+    {
+        auto change = parse_change(row.value);
+        if (!change)
+        {
+            log_refused(row.key, change.error());
+            continue;
+        }
+        out.push_back(std::move(change).value());
+    }
+    return out;
+}
+
 } // namespace
 
 records_duty::records_duty(
@@ -242,18 +260,20 @@
         }
         rows = std::move(all).value();
     }
-    std::vector<accepted_change> out;
-    for (const auto& row : rows)
+    auto out = parse_rows(rows);
+    const auto* keys = keys_ ? &*keys_ : nullptr;
+    if (out.size() == rows.size() && all_good(out, keys))
     {
-        auto change = parse_change(row.value);
-        if (!change)
-        {
-            log_refused(row.key, change.error());
-            continue;
-        }
-        out.push_back(std::move(change).value());
+        co_return out;
+    }
+    // The last good change of each record stands in the log.
+    counts_.platform_reads.fetch_add(1, std::memory_order_relaxed);
+    const auto log_rows = co_await table_.scan(log_table, "");
+    if (!log_rows)
+    {
+        co_return std::nullopt;
     }
-    co_return out;
+    co_return parse_rows(log_rows.value());
 }
 
 asio::awaitable<bool> records_duty::ask_peer(peer_pointer peer)
@@ -348,7 +368,7 @@
     // Lost hints cost time, not the change: every daemon asks peers anyway.
     const configuration_hint own{settings_.name, known_->revision};
     net::http_request request{.method = "GET", .target = hint_target(own)};
-    co_await net::fetch(
+    std::ignore = co_await net::fetch(
         peer->caller_address,
         std::move(request),
         base::monotonic_clock::now() + peer_timeout);
--- a/packages/decision/records/adoption.cpp
+++ b/packages/decision/records/adoption.cpp
@@ -65,6 +65,19 @@
     return out;
 }
 
+bool all_good(
+    std::span<const accepted_change> changes, const operator_keys* keys)
+{
+    return std::ranges::all_of(
+        changes,
+        [&](const accepted_change& one)
+        {
+            const bool genuine =
+                keys == nullptr || verify(*keys, one).has_value();
+            return genuine && schema::parse_record(one.record_json).has_value();
+        });
+}
+
 configuration_answer changes_after(const configuration& own, revision after)
 {
     configuration_answer out{.revision = own.revision};
--- a/packages/decision/records/adoption.hpp
+++ b/packages/decision/records/adoption.hpp
@@ -54,6 +54,10 @@
 trusted_changes check_signatures(
     std::vector<accepted_change> changes, const operator_keys* keys);
 
+// True when each change is signed as the keys want it and can be read.
+bool all_good(
+    std::span<const accepted_change> changes, const operator_keys* keys);
+
 // What one daemon hands to another.
 struct configuration_answer
 {
--- a/tests/end_to_end/adoption_test.cpp
+++ b/tests/end_to_end/adoption_test.cpp
@@ -8,7 +8,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "decision/records/accepted_change.hpp"
+#include "decision/records/layout.hpp"
 #include "harness/cluster.hpp"
+#include "net/run_blocking.hpp"
+#include "platform/http_table_service.hpp"
 
 using namespace waxwingvalve;
 
@@ -200,4 +204,41 @@
     BOOST_TEST(reaches(alone, 1));
 }
 
+BOOST_AUTO_TEST_CASE(a_forged_record_in_the_store_never_comes_in_force)
+{
+    decision::records::accepted_change forged{
+        .revision = 2,
+        .key = "deployment/authority",
+        .proposal_id = "p-forged",
+        .author = "selam",
+        .reviewer = "dawit",
+        .closer = "dawit",
+        .record_json = zones(666)};
+    forged.digest = decision::records::digest_of(forged.record_json);
+    const auto text = to_json(forged);
+    platform::transaction change;
+    change.writes = {
+        {"records", forged.key, text},
+        {"log", decision::records::log_key(2), text},
+        {"head", "head", "2"}};
+    platform::http_table_service table{cluster.platform(), in_force_bound};
+    BOOST_REQUIRE(net::run_blocking(table.commit(change)).has_value());
+
+    BOOST_TEST(all_reach(2));
+    // One that has to begin with what the store holds.
+    replace(cluster.entries().front());
+    BOOST_TEST(all_reach(2));
+    for (const auto& entry : cluster.entries())
+    {
+        const auto held = cluster.call(
+            entry.caller_address,
+            {.method = "GET", .target = "/v1/configuration?after=0"});
+        BOOST_REQUIRE(held.has_value());
+        BOOST_TEST(held.value().body.find("p-forged") == std::string::npos);
+        BOOST_TEST(
+            held.value().body.find("deployment/authority") !=
+            std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -101,6 +101,11 @@
     }
     write_operator_settings("selam");
     write_operator_settings("dawit");
+    write_file(
+        keys_file(),
+        json::object{
+            {"selam", "73656c616d2d7365637265742d666f722d7465737473"},
+            {"dawit", "64617769742d7365637265742d666f722d7465737473"}});
 }
 
 cluster::~cluster()
@@ -195,6 +200,7 @@
              {{"table_address", platform},
               {"object_address", platform},
               {"vm_list_address", platform}}},
+            {"operator_keys_file", keys_file().string()},
             {"peers", std::move(peers)}});
 }
 
@@ -211,6 +217,7 @@
         json::object{
             {"schema_version", 1},
             {"operator", name},
+            {"key_file", keys_file().string()},
             {"platform",
              {{"table_address", platform},
               {"object_address", platform},
@@ -218,6 +225,11 @@
             {"daemons", std::move(daemons)}});
 }
 
+std::filesystem::path cluster::keys_file() const
+{
+    return folder_ / "operator-keys.json";
+}
+
 std::filesystem::path cluster::log_of(const std::string& daemon) const
 {
     return folder_ / (daemon + ".log");
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -96,6 +96,8 @@
     void lay_out();
     void write_settings(const entry_vm& entry) const;
     void write_operator_settings(const std::string& name) const;
+    // Keys of both operators, for the client and the daemons.
+    std::filesystem::path keys_file() const;
     base::endpoint address(int zone, int host, std::uint16_t port) const;
 
     struct network_hold;
