Bench: both deployments under load; requests refused by peers wait for a slot

Cause: nothing measured latency, headroom and drains of the two deployments, and a request that two peers had refused was refused, though an own slot would have come free within its time. It now waits in the own queue; a peer that cannot be connected to counts as one without room. Workers and entries that the platform lists as leaving can be drained (adopt_leaving_vms); the reading of the list is not joined to it yet.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 CMAKE_FLAGS ?=
 
-.PHONY: demo test build packages format lint schema bench \
+.PHONY: demo test build packages format lint schema bench bench-deployments \
 	test-address test-thread
 
 # What a fresh machine lacks is installed first, by Debian's packages alone.
@@ -33,6 +33,10 @@
 bench: build
 	tools/bench $(BUILD)
 
+# Both deployments under load: latency, headroom, drain time, overload.
+bench-deployments: build
+	$(BUILD)/tests/bench/deployments_bench
+
 format:
 	tools/format
 
--- a/packages/daemon/serving/attempts.cpp
+++ b/packages/daemon/serving/attempts.cpp
@@ -1,5 +1,8 @@
 #include "daemon/serving/attempts.hpp"
 
+#include <algorithm>
+#include <array>
+
 #include <fmt/format.h>
 
 #include "net/http_client.hpp"
@@ -20,8 +23,11 @@
 constexpr milliseconds filing_proven_within{200};
 // Peers asked one after the other when each turns out to have no room.
 constexpr std::size_t most_peers_tried = 2;
-const std::string no_room_code =
-    fmt::format("{:04}", base::number(result_code::no_room));
+constexpr std::array not_admitted_codes{
+    result_code::no_room,
+    result_code::paused,
+    result_code::leaving,
+    result_code::connect_failed};
 
 finished failed(const net::exchange_failure& failure)
 {
@@ -46,11 +52,15 @@
                to_string(outcome::not_run);
 }
 
-// A peer that had no room says so at once and runs nothing.
-bool had_no_room(const finished& from)
+// The peer had no room, took nothing, or could not be connected to.
+bool was_not_admitted(const finished& from)
 {
     const auto code = net::find_field(from.answer.fields, code_field);
-    return from.what == outcome::not_run && code == no_room_code;
+    return from.what == outcome::not_run &&
+           std::ranges::any_of(
+               not_admitted_codes,
+               [&](result_code one)
+               { return code == fmt::format("{:04}", base::number(one)); });
 }
 
 // What a worker's whole answer means.
@@ -110,7 +120,7 @@
     place_request asked{
         .service = work.service,
         .priority = work.operation.priority,
-        .may_pass = !work.passed,
+        .passed = work.passed,
         .deadline = work.deadline};
     while (true)
     {
@@ -127,7 +137,7 @@
         const auto& peer = std::get<peer_target>(where);
         counts_.passed_to_peers.fetch_add(1, std::memory_order_relaxed);
         auto out = co_await pass_on(work, peer);
-        if (!had_no_room(out) || asked.avoid.size() >= most_peers_tried)
+        if (!was_not_admitted(out))
         {
             co_return out;
         }
@@ -135,6 +145,7 @@
         places_.note_peer_refused(peer.name, work.service);
         net::remove_field(work.request.fields, passed_field);
         asked.avoid.push_back(peer.caller_address);
+        asked.may_pass = asked.avoid.size() < most_peers_tried;
     }
 }
 
--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -56,6 +56,7 @@
     const auto& drained = places.drained();
     const bool named_self =
         !places.leaving() &&
+        !places.vm_leaves(settings.caller_address.address) &&
         !drained.includes_entry(settings.name, settings.zone);
     if (named_self)
     {
@@ -73,7 +74,9 @@
         const auto& report = peer.report;
         const bool named = peer.state == member_state::alive ||
                            peer.state == member_state::suspect;
-        if (!named || drained.includes_entry(report.name, report.zone))
+        const bool leaves = drained.includes_entry(report.name, report.zone) ||
+                            places.vm_leaves(report.caller_address.address);
+        if (!named || leaves)
         {
             continue;
         }
--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -186,11 +186,20 @@
                 limit->set_draining(
                     decision::limits::drain_source::record,
                     drained_.includes(one));
+                limit->set_draining(
+                    decision::limits::drain_source::vm_list,
+                    vm_leaves(one.address.address));
             }
         }
     }
 }
 
+void placement::adopt_leaving_vms(std::set<std::string, std::less<>> addresses)
+{
+    leaving_vms_ = std::move(addresses);
+    apply_drains();
+}
+
 void placement::count_configured_slots()
 {
     configured_slots_.clear();
@@ -297,22 +306,33 @@
 placed placement::place(
     std::string_view service,
     bool may_pass,
-    std::span<const base::endpoint> avoid,
-    schema::priority priority)
+    std::span<const base::endpoint> avoid)
+{
+    return place(
+        {.service = std::string{service},
+         .passed = !may_pass,
+         .may_pass = may_pass,
+         .avoid = {avoid.begin(), avoid.end()}});
+}
+
+placed placement::place(const place_request& request)
 {
+    const auto& service = request.service;
     if (configuration_->find_service(service) == nullptr)
     {
-        return base::error{result_code::service_unknown, std::string{service}};
+        return base::error{result_code::service_unknown, service};
     }
     // A passed request overtakes nobody who waits here.
-    const auto rank = may_pass ? priority : schema::priority::background;
-    const auto own =
-        may_dispatch() ? slots_->take(service, rank, avoid) : std::nullopt;
+    const auto rank =
+        request.passed ? schema::priority::background : request.priority;
+    const auto own = may_dispatch() ? slots_->take(service, rank, request.avoid)
+                                    : std::nullopt;
     if (own)
     {
         return hold(*own);
     }
-    auto peer = may_pass ? choose_peer(service, avoid) : std::nullopt;
+    const bool may_pass = request.may_pass && !request.passed;
+    auto peer = may_pass ? choose_peer(service, request.avoid) : std::nullopt;
     if (peer)
     {
         return std::move(*peer);
@@ -330,18 +350,17 @@
         "why",
         base::describe(code).name,
         "passed",
-        !may_pass,
+        request.passed,
         "revision",
         configuration_->revision);
-    return base::error{code, std::string{service}};
+    return base::error{code, service};
 }
 
 asio::awaitable<placed> placement::place_in_time(place_request request)
 {
-    auto now = place(
-        request.service, request.may_pass, request.avoid, request.priority);
+    auto now = place(request);
     const auto* refusal = std::get_if<base::error>(&now);
-    const bool may_wait = refusal != nullptr && request.may_pass &&
+    const bool may_wait = refusal != nullptr && !request.passed &&
                           refusal->code == result_code::no_room &&
                           own_capacity(request.service).slots > 0;
     if (!may_wait)
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -51,8 +52,10 @@
 {
     std::string service{};
     schema::priority priority{schema::priority::interactive};
-    // False for a request that a peer passed on: it is admitted at once or
-    // refused, so that this daemon's own callers come first.
+    // A peer passed it on: it is admitted at once or refused, so that this
+    // daemon's own callers come first.
+    bool passed{false};
+    // False once enough peers have refused it.
     bool may_pass{true};
     base::instant deadline{};
     // Workers and peers that are left out.
@@ -87,6 +90,15 @@
     void set_leaving() { leaving_ = true; }
     bool leaving() const { return leaving_; }
 
+    // Takes the addresses of the VMs that the platform lists as leaving. The
+    // list lags; a worker that it names gets no new work, an entry that it
+    // names is not named to callers.
+    void adopt_leaving_vms(std::set<std::string, std::less<>> addresses);
+    bool vm_leaves(std::string_view address) const
+    {
+        return leaving_vms_.contains(address);
+    }
+
     const decision::membership::member_snapshot& members() const
     {
         return *members_;
@@ -97,14 +109,14 @@
         return *configuration_;
     }
 
-    // At once: an own worker, else a peer, else a refusal. `may_pass` is
-    // false for a request that a peer passed on already. Workers and peers at
-    // the addresses in `avoid` are left out.
+    // At once: an own worker, else a peer, else a refusal.
+    placed place(const place_request& request);
+    // `may_pass` is false for a request that a peer passed on already.
+    // Workers and peers at the addresses in `avoid` are left out.
     placed place(
         std::string_view service,
         bool may_pass,
-        std::span<const base::endpoint> avoid = {},
-        schema::priority priority = schema::priority::interactive);
+        std::span<const base::endpoint> avoid = {});
 
     // The same, but waits for an own slot before it refuses for want of room.
     boost::asio::awaitable<placed> place_in_time(place_request request);
@@ -147,6 +159,7 @@
     std::optional<decision::ownership::owned_workers> ownership_;
     std::shared_ptr<const decision::records::configuration> configuration_;
     decision::drains::drained drained_;
+    std::set<std::string, std::less<>> leaving_vms_;
     std::shared_ptr<slot_queue> slots_;
     std::shared_ptr<worker_health> health_;
     peer_rooms peers_;
