--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log.hpp"
 #include "daemon/figures.hpp"
+#include "daemon/incarnation.hpp"
 #include "daemon/operators_duty.hpp"
 #include "daemon/records_duty.hpp"
 #include "daemon/serving_duty.hpp"
@@ -78,21 +79,26 @@
     asio::io_context signal_context{1};
     operators_duty operators{settings, counts};
     {
-        serving_duty serving{settings, counts};
+        serving_duty serving{settings, counts, make_incarnation()};
         records_duty records{settings, counts, [&](configuration_pointer next) {
                                  return serving.offer(std::move(next));
                              }};
+        serving.on_hint([&](configuration_hint heard)
+                        { records.hint(std::move(heard)); });
         const stop_signals signals{signal_context, serving};
 
         if (auto started = operators.start(); !started)
         {
             return report(started.error());
         }
+        if (auto started = records.start(); !started)
+        {
+            return report(started.error());
+        }
         if (auto started = serving.start(); !started)
         {
             return report(started.error());
         }
-        records.start();
         std::thread signal_thread{[&] { signal_context.run(); }};
         log_event(
             log_level::info,
--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -50,7 +50,8 @@
 std::vector<ranked_entry> rank_entries(
     const schema::service& service,
     const placement& places,
-    const schema::daemon_settings& settings)
+    const schema::daemon_settings& settings,
+    const std::string& own_key_prefix)
 {
     std::vector<ranked_entry> out;
     const auto& drained = places.drained();
@@ -65,7 +66,7 @@
             {settings.name,
              settings.caller_address,
              weight_of(own.slots, own.free),
-             "",
+             own_key_prefix,
              0});
     }
     for (const auto& peer : places.members().members)
@@ -120,7 +121,8 @@
 net::http_response answer_entries(
     const net::http_request& request,
     const placement& places,
-    const schema::daemon_settings& settings)
+    const schema::daemon_settings& settings,
+    const std::string& own_key_prefix)
 {
     const auto name = net::query_value(request.target, "service");
     const auto* service =
@@ -137,7 +139,8 @@
         return make_refusal(
             {result_code::client_address_invalid, *client}, outcome::not_run);
     }
-    const auto entries = rank_entries(*service, places, settings);
+    const auto entries =
+        rank_entries(*service, places, settings, own_key_prefix);
     base::log_event(
         base::log_level::info,
         base::log_channel::routing,
