--- a/packages/daemon/records_duty.cpp
+++ b/packages/daemon/records_duty.cpp
@@ -156,8 +156,10 @@
         order.push_back(&peer);
     }
     std::ranges::shuffle(order, random_);
-    std::ranges::stable_partition(
-        order, [&](peer_pointer peer) { return peer->zone == settings_.zone; });
+    std::stable_partition(
+        order.begin(),
+        order.end(),
+        [&](peer_pointer peer) { return peer->zone == settings_.zone; });
     std::size_t answered = 0;
     for (const auto* peer : order)
     {
--- a/tests/bench/entry_bench.cpp
+++ b/tests/bench/entry_bench.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
-#include <fstream>
 #include <iostream>
 #include <string>
 #include <thread>
@@ -15,10 +14,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include "base/time.hpp"
 #include "harness/cluster.hpp"
+#include "harness/process_figures.hpp"
 #include "net/http_client.hpp"
 #include "net/run_blocking.hpp"
 
@@ -31,37 +30,6 @@
 
 constexpr std::chrono::seconds call_timeout{5};
 
-// User and system time of a process so far, in seconds (proc(5), stat).
-double processor_seconds(int process)
-{
-    std::ifstream file{fmt::format("/proc/{}/stat", process)};
-    std::string text{std::istreambuf_iterator<char>{file}, {}};
-    std::istringstream rest{text.substr(text.rfind(')') + 2)};
-    constexpr int fields_before_utime = 11;
-    std::string skipped;
-    for (int field = 0; field < fields_before_utime; ++field)
-    {
-        rest >> skipped;
-    }
-    double user{};
-    double system{};
-    rest >> user >> system;
-    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-std::string memory_of(int process)
-{
-    std::ifstream file{fmt::format("/proc/{}/status", process)};
-    for (std::string line; std::getline(file, line);)
-    {
-        if (line.starts_with("VmHWM"))
-        {
-            return line;
-        }
-    }
-    return "unknown";
-}
-
 net::http_request look_up()
 {
     return {
@@ -214,9 +182,9 @@
     const int process = cluster.daemon(entry.name).id();
 
     constexpr std::chrono::seconds load_time{5};
-    const auto before = processor_seconds(process);
+    const auto before = harness::processor_seconds(process);
     const auto answered = ask_on_threads(entry.caller_address, load_time);
-    const auto used = processor_seconds(process) - before;
+    const auto used = harness::processor_seconds(process) - before;
     fmt::print(
         "look-ups         {} in {} s over 48 connections: {:.0f} a second, "
         "{:.0f} a second of processor time\n",
@@ -230,5 +198,7 @@
         cluster.workers().front().address, entry.caller_address, rounds));
     print("direct", times.direct);
     print("through entry", times.through);
-    fmt::print("memory           {}\n", memory_of(process));
+    fmt::print(
+        "memory           {} KB at the highest\n",
+        harness::memory_high_water_kb(process));
 }
