Net, Daemon: an ended connection starts the search for a proof

The workers of a killed daemon were idle for 1792 ms, because the proof was looked for only after an unanswered probe. nng tells when a connection ended; that proves nothing, but is the moment to try the address.

The process test takes the daemon with more workers for its victim: addresses differ from run to run, and in one run the killed daemon owned none.

--- a/packages/daemon/members_duty.cpp
+++ b/packages/daemon/members_duty.cpp
@@ -90,7 +90,8 @@
       ownership_{settings.name, members_.self().incarnation << stamp_bits, {}},
       link_{
           context_,
-          [this](std::span<const std::uint8_t> bytes) { receive(bytes); }},
+          [this](std::span<const std::uint8_t> bytes) { receive(bytes); },
+          [this](const base::endpoint& peer) { on_lost(peer); }},
       vm_list_{settings.platform.vm_list, platform_timeout}, timer_{context_},
       reports_{
           context_, [this](serving_report report) { adopt(std::move(report)); }}
@@ -229,13 +230,31 @@
     names.insert(names.end(), awaited.begin(), awaited.end());
     for (const auto& name : names)
     {
-        auto& last = connected_at_[name];
-        if (now - last < proof_period || !connecting_.insert(name).second)
+        look_for_proof(name, now);
+    }
+}
+
+void members_duty::look_for_proof(const std::string& name, base::instant now)
+{
+    auto& last = connected_at_[name];
+    if (now - last < proof_period || !connecting_.insert(name).second)
+    {
+        return;
+    }
+    last = now;
+    asio::co_spawn(context_, try_connection(name), asio::detached);
+}
+
+void members_duty::on_lost(const base::endpoint& peer)
+{
+    for (const auto& one : members_.snapshot().members)
+    {
+        if (one.report.peer_address == peer &&
+            one.report.zone == settings_.zone &&
+            one.state != member_state::dead)
         {
-            continue;
+            look_for_proof(one.report.name, base::monotonic_clock::now());
         }
-        last = now;
-        asio::co_spawn(context_, try_connection(name), asio::detached);
     }
 }
 
--- a/packages/daemon/members_duty.hpp
+++ b/packages/daemon/members_duty.hpp
@@ -76,6 +76,9 @@
     void tick();
     void take_members(base::instant now);
     void look_for_proofs(base::instant now);
+    void look_for_proof(const std::string& name, base::instant now);
+    // A connection to this peer ended: its process may have.
+    void on_lost(const base::endpoint& peer);
     boost::asio::awaitable<void> try_connection(std::string name);
     boost::asio::awaitable<void> read_vm_list();
     boost::asio::awaitable<void> ask_health(base::endpoint worker);
--- a/packages/net/peer_link.cpp
+++ b/packages/net/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "net/peer_link.hpp"
 
+#include <boost/asio/post.hpp>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -27,15 +28,39 @@
 
 } // namespace
 
+// Carries the end of a connection from a thread of nng to the io_context.
+struct peer_link::lost_notice
+{
+    boost::asio::io_context& context;
+    std::weak_ptr<lost_function> receive;
+    base::endpoint peer;
+
+    static void post(nng_pipe /*pipe*/, nng_pipe_ev /*event*/, void* argument)
+    {
+        const auto& self = *static_cast<lost_notice*>(argument);
+        boost::asio::post(
+            self.context,
+            [receive = self.receive, peer = self.peer]
+            {
+                if (const auto alive = receive.lock())
+                {
+                    (*alive)(peer);
+                }
+            });
+    }
+};
+
 class peer_link::sender
 {
 public:
-    explicit sender(const base::endpoint& to)
+    sender(const base::endpoint& to, lost_notice& notice)
     {
         if (nng_push0_open(&socket_) != 0)
         {
             return;
         }
+        nng_pipe_notify(
+            socket_, NNG_PIPE_EV_REM_POST, &lost_notice::post, &notice);
         nng_socket_set_int(socket_, NNG_OPT_SENDBUF, send_queue_messages);
         nng_socket_set_ms(socket_, NNG_OPT_RECONNMINT, reconnect_least_ms);
         nng_socket_set_ms(socket_, NNG_OPT_RECONNMAXT, reconnect_most_ms);
@@ -61,8 +86,12 @@
     base::instant used_at_{};
 };
 
-peer_link::peer_link(boost::asio::io_context& context, receive_function receive)
-    : readable_{context}, receive_{std::move(receive)}
+peer_link::peer_link(
+    boost::asio::io_context& context,
+    receive_function receive,
+    lost_function lost)
+    : readable_{context}, receive_{std::move(receive)}, context_{context},
+      lost_{std::make_shared<lost_function>(std::move(lost))}
 {
 }
 
@@ -140,7 +169,13 @@
     auto& one = senders_[to];
     if (!one)
     {
-        one = std::make_unique<sender>(to);
+        auto& notice = notices_[to];
+        if (!notice)
+        {
+            notice =
+                std::make_unique<lost_notice>(lost_notice{context_, lost_, to});
+        }
+        one = std::make_unique<sender>(to, *notice);
     }
     return one->send(bytes);
 }
--- a/packages/net/peer_link.hpp
+++ b/packages/net/peer_link.hpp
@@ -30,9 +30,14 @@
 {
 public:
     using receive_function = std::function<void(std::span<const std::uint8_t>)>;
+    using lost_function = std::function<void(const base::endpoint&)>;
 
-    // `receive` is called on the io_context, once for each message.
-    peer_link(boost::asio::io_context& context, receive_function receive);
+    // Both are called on the io_context: `receive` for each message, `lost`
+    // when a connection to a peer ended, which says nothing of why.
+    peer_link(
+        boost::asio::io_context& context,
+        receive_function receive,
+        lost_function lost);
     ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
@@ -50,13 +55,18 @@
 
 private:
     class sender;
+    struct lost_notice;
 
     void wait_for_messages();
     void receive_waiting();
 
     boost::asio::posix::stream_descriptor readable_;
     receive_function receive_;
+    boost::asio::io_context& context_;
+    std::shared_ptr<lost_function> lost_;
     std::uint32_t listener_{};
+    // nng calls with these from its threads; kept until all sockets ended.
+    std::map<base::endpoint, std::unique_ptr<lost_notice>> notices_;
     std::map<base::endpoint, std::unique_ptr<sender>> senders_;
 };
 
--- a/tests/end_to_end/ownership_test.cpp
+++ b/tests/end_to_end/ownership_test.cpp
@@ -1,6 +1,8 @@
 // Who dispatches to the workers of a zone when its daemons are killed,
 // frozen, stopped and restarted, as separate processes.
 #include <chrono>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,16 +37,36 @@
         cluster.start_upstreams();
         cluster.start_daemons();
         BOOST_REQUIRE(cluster.accept_layout());
+        // Addresses differ from run to run, and with them who owns how many.
+        swapped_ =
+            owned(cluster.entries().front()) < owned(cluster.entries().back());
     }
 
-    const harness::entry_vm& first() { return cluster.entries().front(); }
-    const harness::entry_vm& second() { return cluster.entries().back(); }
+    // The daemon that owns more of the workers.
+    const harness::entry_vm& first()
+    {
+        return cluster.entries().at(swapped_ ? 1 : 0);
+    }
+    const harness::entry_vm& second()
+    {
+        return cluster.entries().at(swapped_ ? 0 : 1);
+    }
 
     std::size_t owned(const harness::entry_vm& entry)
     {
         return cluster.owned_workers(entry);
     }
 
+    // The daemon logged that it gave a worker up.
+    bool dropped(const harness::entry_vm& entry)
+    {
+        std::ifstream log{cluster.log_of(entry.name)};
+        const std::string text{
+            std::istreambuf_iterator<char>{log},
+            std::istreambuf_iterator<char>{}};
+        return text.find("chosen=dropped") != std::string::npos;
+    }
+
     net::exchange_result look_up(const harness::entry_vm& entry)
     {
         return cluster.call(
@@ -65,6 +87,23 @@
         return out;
     }
 
+    void list_vms(const std::vector<harness::entry_vm>& entries)
+    {
+        boost::json::array vms;
+        for (const auto& one : entries)
+        {
+            vms.push_back(
+                {{"name", one.name},
+                 {"address", one.caller_address.address},
+                 {"zone", one.zone},
+                 {"role", "entry"},
+                 {"state", "live"}});
+        }
+        cluster.set_faults(
+            cluster.platform(),
+            boost::json::serialize(boost::json::object{{"vms", vms}}));
+    }
+
     bool over_slots()
     {
         for (const auto& one : cluster.workers())
@@ -89,6 +128,9 @@
     }
 
     harness::cluster cluster{one_zone()};
+
+private:
+    bool swapped_{};
 };
 
 } // namespace
@@ -134,6 +176,8 @@
 
     const auto began = base::monotonic_clock::now();
     cluster.daemon(first().name).thaw();
+    // Its status page may answer before it noticed the pause.
+    BOOST_REQUIRE(harness::wait_until([&] { return dropped(first()); }));
     BOOST_REQUIRE(harness::wait_until(
         [&] { return cluster.owned_workers() == cluster.workers().size(); }));
     print_time("idle after a thaw", began);
@@ -183,4 +227,31 @@
     BOOST_TEST(look_up(first()).value().status == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(a_vanished_vms_workers_move_after_its_tenure)
+{
+    const auto all = cluster.workers().size();
+    list_vms({first(), second()});
+    // Both daemons have to have read the list once.
+    harness::wait_until([] { return false; }, seconds{5});
+    const auto kept = owned(second());
+    const auto began = base::monotonic_clock::now();
+    cluster.daemon(first().name).freeze();
+    list_vms({second()});
+    const auto moved_early = harness::wait_until(
+        [&] { return owned(second()) != kept; }, seconds{20});
+    BOOST_TEST(!moved_early);
+    BOOST_REQUIRE(harness::wait_until(
+        [&] { return owned(second()) == all; }, seconds{60}));
+    BOOST_TEST_MESSAGE("workers of the vanished VM: " << all - kept);
+    print_time("idle after a VM vanished", began);
+
+    // A VM that thaws after all is granted nothing.
+    cluster.daemon(first().name).thaw();
+    const auto regained =
+        harness::wait_until([&] { return owned(second()) != all; }, seconds{3});
+    BOOST_TEST(!regained);
+    BOOST_TEST(owned(first()) == 0U);
+    BOOST_TEST(!over_slots());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
