--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log.hpp"
 #include "daemon/figures.hpp"
+#include "daemon/incarnation.hpp"
 #include "daemon/members_duty.hpp"
 #include "daemon/operators_duty.hpp"
 #include "daemon/records_duty.hpp"
@@ -82,17 +83,21 @@
     asio::io_context signal_context{1};
     operators_duty operators{settings, counts};
     {
-        serving_duty serving{settings, counts};
+        const auto incarnation = make_incarnation();
+        serving_duty serving{settings, counts, incarnation};
         records_duty records{settings, counts, [&](configuration_pointer next) {
                                  return serving.offer(std::move(next));
                              }};
+        serving.on_hint([&](configuration_hint heard)
+                        { records.hint(std::move(heard)); });
         members_duty members{
             settings,
             counts,
             {.members = [&](serving::member_pointer next)
              { return serving.offer_members(std::move(next)); },
              .owned = [&](decision::ownership::owned_workers next)
-             { return serving.offer_ownership(std::move(next)); }}};
+             { return serving.offer_ownership(std::move(next)); }},
+            incarnation};
         serving.report_to([&](serving_report report)
                           { return members.offer(std::move(report)); });
         const stop_signals signals{signal_context, serving, members};
@@ -101,6 +106,10 @@
         {
             return report(started.error());
         }
+        if (auto started = records.start(); !started)
+        {
+            return report(started.error());
+        }
         // The serving thread reports to the members duty, which has to outlive
         // it: nothing may fail after it runs.
         if (auto started = members.start(); !started)
@@ -111,7 +120,6 @@
         {
             return report(started.error());
         }
-        records.start();
         std::thread signal_thread{[&] { signal_context.run(); }};
         log_event(
             log_level::info,
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -37,23 +37,20 @@
 } // namespace
 
 serving_duty::serving_duty(
-    const schema::daemon_settings& settings, figures& counts)
+    const schema::daemon_settings& settings,
+    figures& counts,
+    std::uint64_t incarnation)
     : context_{1}, settings_{settings}, counts_{counts}, timer_{context_},
       latencies_{latency_window_length},
       places_{context_.get_executor(), settings},
-      front_{settings, places_, counts},
+      front_{context_.get_executor(), settings, places_, counts, incarnation},
       server_{
           context_,
           to_limits(settings.limits),
-          {.fast = [this](const net::http_request& in)
-           { return front_.answer_now(in); },
+          {.fast = [this](const net::http_request& in) { return answer(in); },
            .route = [this](net::http_request in)
            { return serve(std::move(in)); },
-           .refuse =
-               [](const base::error& reason)
-           {
-               return serving::make_refusal(reason, serving::outcome::not_run);
-           }}},
+           .refuse = serving::front::refuse_unread}},
       configurations_{
           context_,
           [this](configuration_pointer next) { adopt(std::move(next)); }},
@@ -89,6 +86,16 @@
     return base::success();
 }
 
+std::optional<net::http_response> serving_duty::answer(
+    const net::http_request& in)
+{
+    if (auto page = answer_configuration(in, places_.in_force(), hints_))
+    {
+        return page;
+    }
+    return front_.answer_now(in);
+}
+
 bool serving_duty::offer(configuration_pointer next)
 {
     return configurations_.push(std::move(next));
@@ -111,7 +118,8 @@
         report_(
             {.state = places_.ownership_state(),
              .configuration = places_.in_force_pointer(),
-             .rooms = places_.rooms()});
+             .rooms = places_.rooms(),
+             .key_prefix = front_.key_prefix()});
     }
 }
 
@@ -192,8 +200,10 @@
     report();
     counts_.request_latency.set(latencies_.summary(now));
 
+    // A filing's run is no part of its caller's connection.
+    const auto running = server_.running() + front_.running_filings();
     const auto before = stop_.phase();
-    const auto phase = stop_.advance(now, server_.running());
+    const auto phase = stop_.advance(now, running);
     if (phase != before && phase == stop_phase::finishing)
     {
         log_event(
@@ -201,7 +211,7 @@
             log_channel::daemon,
             "no_new_connections",
             "running",
-            server_.running());
+            running);
         server_.stop();
     }
     if (phase == stop_phase::ended)
--- a/packages/daemon/serving_duty.hpp
+++ b/packages/daemon/serving_duty.hpp
@@ -12,6 +12,7 @@
 
 #include "base/latency.hpp"
 #include "base/result.hpp"
+#include "daemon/configuration_page.hpp"
 #include "daemon/duty_link.hpp"
 #include "daemon/figures.hpp"
 #include "daemon/members_duty.hpp"
@@ -31,7 +32,10 @@
 class serving_duty
 {
 public:
-    serving_duty(const schema::daemon_settings& settings, figures& counts);
+    serving_duty(
+        const schema::daemon_settings& settings,
+        figures& counts,
+        std::uint64_t incarnation);
     ~serving_duty();
     serving_duty(const serving_duty&) = delete;
     serving_duty& operator=(const serving_duty&) = delete;
@@ -39,6 +43,10 @@
     // Errors: address_in_use.
     base::result<void> start();
 
+    // Who is told of peers' newer configurations, on the serving thread; to
+    // be set before start().
+    void on_hint(hint_receiver receive) { hints_ = std::move(receive); }
+
     // Hands a newer configuration over; called by the records duty.
     bool offer(configuration_pointer next);
 
@@ -60,6 +68,7 @@
 
 private:
     void adopt(configuration_pointer next);
+    std::optional<net::http_response> answer(const net::http_request& in);
     boost::asio::awaitable<std::optional<net::http_response>> serve(
         net::http_request in);
     base::duration longest_list_lifetime() const;
@@ -80,6 +89,7 @@
     duty_link<serving::member_pointer> members_;
     duty_link<decision::ownership::owned_workers> ownership_;
     std::function<bool(serving_report)> report_;
+    hint_receiver hints_;
     std::thread thread_;
 };
 
--- a/packages/decision/ownership/zone_ownership.hpp
+++ b/packages/decision/ownership/zone_ownership.hpp
@@ -36,8 +36,6 @@
     // A longer gap between two ticks means that the process was paused.
     base::duration gap_limit{std::chrono::seconds{1}};
     base::duration claim_retry{std::chrono::milliseconds{300}};
-    // The longest time that a request of a daemon that is gone may still run.
-    base::duration longest_request{std::chrono::seconds{30}};
 };
 
 struct zone_worker
@@ -91,8 +89,6 @@
     // more than a tenure ago and it was silent for as long.
     void on_gone(const std::string& name, base::instant began);
     void on_serving(serving_state state);
-    // The worker itself reports how many requests it runs.
-    void on_health(const base::endpoint& worker, std::uint32_t running);
 
     const owned_workers& owned() const { return owned_; }
     // Members whose answer a claim of this daemon waits for.
@@ -115,7 +111,6 @@
         base::instant began{};
         // Members that granted this claim or were proven gone during it.
         std::set<std::string> settled{};
-        bool after_proof{};
         // Version of the first set without it, after it was owned.
         std::uint64_t dropped_at{};
         // No longer in the configuration; kept until the serving thread is
@@ -130,8 +125,7 @@
         const base::endpoint& address, const worker_state& one) const;
     bool settled(const worker_state& one) const;
     void begin_claim(worker_state& one, base::instant now);
-    void own(
-        const base::endpoint& address, worker_state& one, base::instant now);
+    void own(const base::endpoint& address, worker_state& one);
     void drop(const base::endpoint& address, worker_state& one);
     void step(
         const base::endpoint& address, worker_state& one, base::instant now);
