--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -87,7 +87,6 @@
 
 void placement::adopt_ownership(decision::ownership::owned_workers next)
 {
-    // The version of the first set is 0 too, and it owns nothing.
     const bool changed = next.version != ownership_.version;
     ownership_ = std::move(next);
     if (changed)
@@ -109,23 +108,7 @@
 
 decision::ownership::serving_state placement::ownership_state() const
 {
-    decision::ownership::serving_state out{ownership_.version, {}};
-    for (const auto& [address, pool] : pools_)
-    {
-        if (pool->in_use() > 0)
-        {
-            out.running.insert(address);
-        }
-    }
-    for (const auto& one : dropped_)
-    {
-        const auto pool = one.lock();
-        if (pool && pool->in_use() > 0)
-        {
-            out.running.insert(pool->address());
-        }
-    }
-    return out;
+    return {ownership_.version, slots_->admission().running_workers()};
 }
 
 std::vector<schema::service_room> placement::rooms() const
@@ -185,14 +168,6 @@
             watched.insert(one.address);
         }
     }
-    std::erase_if(dropped_, [](const auto& one) { return one.expired(); });
-    for (const auto& [address, pool] : pools_)
-    {
-        if (pool->in_use() > 0 && !owned.contains(address))
-        {
-            dropped_.push_back(pool);
-        }
-    }
     pools_ = std::move(owned);
     health_->watch(std::move(watched));
 }
@@ -236,11 +211,20 @@
                 limit->set_draining(
                     decision::limits::drain_source::record,
                     drained_.includes(one));
+                limit->set_draining(
+                    decision::limits::drain_source::vm_list,
+                    vm_leaves(one.address.address));
             }
         }
     }
 }
 
+void placement::adopt_leaving_vms(std::set<std::string, std::less<>> addresses)
+{
+    leaving_vms_ = std::move(addresses);
+    apply_drains();
+}
+
 void placement::count_configured_slots()
 {
     configured_slots_.clear();
@@ -347,22 +331,33 @@
 placed placement::place(
     std::string_view service,
     bool may_pass,
-    std::span<const base::endpoint> avoid,
-    schema::priority priority)
+    std::span<const base::endpoint> avoid)
+{
+    return place(
+        {.service = std::string{service},
+         .passed = !may_pass,
+         .may_pass = may_pass,
+         .avoid = {avoid.begin(), avoid.end()}});
+}
+
+placed placement::place(const place_request& request)
 {
+    const auto& service = request.service;
     if (configuration_->find_service(service) == nullptr)
     {
-        return base::error{result_code::service_unknown, std::string{service}};
+        return base::error{result_code::service_unknown, service};
     }
     // A passed request overtakes nobody who waits here.
-    const auto rank = may_pass ? priority : schema::priority::background;
-    const auto own =
-        may_dispatch() ? slots_->take(service, rank, avoid) : std::nullopt;
+    const auto rank =
+        request.passed ? schema::priority::background : request.priority;
+    const auto own = may_dispatch() ? slots_->take(service, rank, request.avoid)
+                                    : std::nullopt;
     if (own)
     {
         return hold(*own);
     }
-    auto peer = may_pass ? choose_peer(service, avoid) : std::nullopt;
+    const bool may_pass = request.may_pass && !request.passed;
+    auto peer = may_pass ? choose_peer(service, request.avoid) : std::nullopt;
     if (peer)
     {
         return std::move(*peer);
@@ -380,18 +375,17 @@
         "why",
         base::describe(code).name,
         "passed",
-        !may_pass,
+        request.passed,
         "revision",
         configuration_->revision);
-    return base::error{code, std::string{service}};
+    return base::error{code, service};
 }
 
 asio::awaitable<placed> placement::place_in_time(place_request request)
 {
-    auto now = place(
-        request.service, request.may_pass, request.avoid, request.priority);
+    auto now = place(request);
     const auto* refusal = std::get_if<base::error>(&now);
-    const bool may_wait = refusal != nullptr && request.may_pass &&
+    const bool may_wait = refusal != nullptr && !request.passed &&
                           refusal->code == result_code::no_room &&
                           own_capacity(request.service).slots > 0;
     if (!may_wait)
--- a/packages/daemon/serving_duty.hpp
+++ b/packages/daemon/serving_duty.hpp
@@ -86,10 +86,10 @@
     serving::front front_;
     net::http_server server_;
     duty_link<configuration_pointer> configurations_;
+    hint_receiver hints_;
     duty_link<serving::member_pointer> members_;
     duty_link<decision::ownership::owned_workers> ownership_;
     std::function<bool(serving_report)> report_;
-    hint_receiver hints_;
     std::thread thread_;
 };
 
--- a/packages/decision/limits/admission.cpp
+++ b/packages/decision/limits/admission.cpp
@@ -152,6 +152,19 @@
     return std::exchange(found->second.highest, found->second.in_use);
 }
 
+std::set<base::endpoint> admission::running_workers() const
+{
+    std::set<base::endpoint> out;
+    for (const auto& [address, one] : workers_)
+    {
+        if (one.in_use > 0)
+        {
+            out.insert(address);
+        }
+    }
+    return out;
+}
+
 worker_limit* admission::find_limit(const base::endpoint& worker)
 {
     const auto found = workers_.find(worker);
