--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -101,6 +101,11 @@
     }
     write_operator_settings("selam");
     write_operator_settings("dawit");
+    write_file(
+        keys_file(),
+        json::object{
+            {"selam", "73656c616d2d7365637265742d666f722d7465737473"},
+            {"dawit", "64617769742d7365637265742d666f722d7465737473"}});
 }
 
 cluster::~cluster()
@@ -195,6 +200,7 @@
              {{"table_address", platform},
               {"object_address", platform},
               {"vm_list_address", platform}}},
+            {"operator_keys_file", keys_file().string()},
             {"peers", std::move(peers)}});
 }
 
@@ -211,6 +217,7 @@
         json::object{
             {"schema_version", 1},
             {"operator", name},
+            {"key_file", keys_file().string()},
             {"platform",
              {{"table_address", platform},
               {"object_address", platform},
@@ -218,6 +225,11 @@
             {"daemons", std::move(daemons)}});
 }
 
+std::filesystem::path cluster::keys_file() const
+{
+    return folder_ / "operator-keys.json";
+}
+
 std::filesystem::path cluster::log_of(const std::string& daemon) const
 {
     return folder_ / (daemon + ".log");
@@ -405,7 +417,34 @@
         revision = accept_record(service_record(service.name));
     }
     return revision == shape_.services.size() + 1 &&
-           wait_for_revision(revision);
+           wait_for_revision(revision) && wait_for_owners();
+}
+
+bool cluster::wait_for_owners()
+{
+    return wait_until([&] { return owned_workers() == workers_.size(); });
+}
+
+std::size_t cluster::owned_workers() const
+{
+    std::size_t out = 0;
+    for (const auto& entry : entries_)
+    {
+        out += owned_workers(entry);
+    }
+    return out;
+}
+
+std::size_t cluster::owned_workers(const entry_vm& entry) const
+{
+    const auto running = daemons_.find(entry.name);
+    if (running == daemons_.end() || !running->second->running())
+    {
+        return 0;
+    }
+    const auto status = get_json(entry.operator_address, "/v1/status");
+    const auto* found = status.if_contains("owned_workers");
+    return found == nullptr ? 0 : found->to_number<std::size_t>();
 }
 
 bool cluster::wait_for_revision(std::uint64_t revision)
