--- a/packages/daemon/figures.hpp
+++ b/packages/daemon/figures.hpp
@@ -17,6 +17,8 @@
 {
     // Revision in force; 0 before the first. Ready means higher than 0.
     std::atomic<std::uint64_t> revision{0};
+    // The store and the peers were asked once since the start.
+    std::atomic<bool> sources_asked{false};
     std::atomic<bool> leaving{false};
     std::atomic<std::uint64_t> look_ups{0};
     std::atomic<std::uint64_t> requests{0};
--- a/packages/daemon/operators_duty.cpp
+++ b/packages/daemon/operators_duty.cpp
@@ -39,6 +39,18 @@
         {"running", counts.running.load()}});
 }
 
+base::error why_not_ready(const figures& counts)
+{
+    if (counts.leaving.load())
+    {
+        return {result_code::leaving};
+    }
+    return {
+        result_code::no_configuration,
+        counts.sources_asked.load() ? "neither the platform nor a peer has one"
+                                    : "asking the platform and peers"};
+}
+
 } // namespace
 
 operators_duty::operators_duty(
@@ -84,8 +96,7 @@
         const bool ready =
             counts_.revision.load() > 0 && !counts_.leaving.load();
         return ready ? serving::make_json(R"({"ready":true})")
-                     : make_refusal(
-                           {result_code::no_configuration}, outcome::not_run);
+                     : make_refusal(why_not_ready(counts_), outcome::not_run);
     }
     if (path == "/metrics")
     {
--- a/packages/daemon/records_duty.cpp
+++ b/packages/daemon/records_duty.cpp
@@ -155,9 +155,11 @@
     {
         order.push_back(&peer);
     }
-    std::ranges::shuffle(order, random_);
-    std::ranges::stable_partition(
-        order, [&](peer_pointer peer) { return peer->zone == settings_.zone; });
+    std::shuffle(order.begin(), order.end(), random_);
+    std::stable_partition(
+        order.begin(),
+        order.end(),
+        [&](peer_pointer peer) { return peer->zone == settings_.zone; });
     std::size_t answered = 0;
     for (const auto* peer : order)
     {
@@ -168,6 +170,7 @@
         }
     }
     asked_all_ = true;
+    counts_.sources_asked.store(true);
     hand_over();
 }
 
