--- a/packages/daemon/records_duty.cpp
+++ b/packages/daemon/records_duty.cpp
@@ -155,7 +155,7 @@
     {
         order.push_back(&peer);
     }
-    std::ranges::shuffle(order, random_);
+    std::shuffle(order.begin(), order.end(), random_);
     std::stable_partition(
         order.begin(),
         order.end(),
@@ -170,6 +170,7 @@
         }
     }
     asked_all_ = true;
+    counts_.sources_asked.store(true);
     hand_over();
 }
 
