--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -41,12 +41,15 @@
     const std::string& own_key_prefix)
 {
     std::vector<ranked_entry> out;
-    out.push_back(
-        {settings.name,
-         settings.caller_address,
-         places.slots_of(settings.name, service),
-         own_key_prefix,
-         0});
+    if (!places.leaving())
+    {
+        out.push_back(
+            {settings.name,
+             settings.caller_address,
+             places.slots_of(settings.name, service),
+             own_key_prefix,
+             0});
+    }
     for (const auto& peer : settings.peers)
     {
         const int region_distance = peer.region == settings.region ? 1 : 2;
@@ -116,7 +119,7 @@
         "client",
         client.value_or("unnamed"),
         "chosen",
-        entries.front().name,
+        entries.empty() ? "none" : entries.front().name,
         "among",
         entries.size(),
         "why",
