Drains: the platform's list of leaving VMs reaches placement; workers that return are asked at once

The members duty hands the addresses of leaving VMs to the serving duty each time that it reads the list. Shown failing first: with the hand-over cut off, 44 runs began on the listed worker later than 5 s after its drain; a_drained_worker_gets_no_new_work_and_cuts_none passes with it, for health endpoint, record and list.

A worker that came back to its owner while its poll loop slept stayed closed for up to 500 ms; it is asked at once now. A daemon without workers of its own also tries peers that reported none free. after_a_thaw_the_zone_is_asked_first failed (503) before and passes; a_planned_stop_hands_over in zone_processes_test still fails at its look-up during the hand-over (503), for the new owner refuses until the worker's first health answer.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -93,7 +93,9 @@
             {.members = [&](serving::member_pointer next)
              { return serving.offer_members(std::move(next)); },
              .owned = [&](decision::ownership::owned_workers next)
-             { return serving.offer_ownership(std::move(next)); }}};
+             { return serving.offer_ownership(std::move(next)); },
+             .leaving_vms = [&](std::set<std::string, std::less<>> addresses)
+             { return serving.offer_leaving_vms(std::move(addresses)); }}};
         serving.report_to([&](serving_report report)
                           { return members.offer(std::move(report)); });
         serving.on_hint([&](configuration_hint heard)
--- a/packages/daemon/members_duty.cpp
+++ b/packages/daemon/members_duty.cpp
@@ -300,8 +300,13 @@
     {
         const auto list = co_await vm_list_.read();
         std::set<std::string> live;
+        std::set<std::string, std::less<>> leaving;
         for (const auto& vm : list ? list.value() : std::vector<platform::vm>{})
         {
+            if (vm.state == platform::vm_state::leaving)
+            {
+                leaving.insert(vm.address);
+            }
             const bool entry = vm.role == platform::vm_role::entry;
             if (!entry || vm.zone != settings_.zone)
             {
@@ -317,6 +322,8 @@
         if (list)
         {
             listed_.on_list(live, base::monotonic_clock::now());
+            // A refused hand-over is made up for by the next reading.
+            deliver_.leaving_vms(std::move(leaving));
         }
         timer.expires_after(vm_list_period);
         co_await timer.async_wait(asio::use_awaitable);
--- a/packages/daemon/members_duty.hpp
+++ b/packages/daemon/members_duty.hpp
@@ -48,6 +48,8 @@
     {
         std::function<bool(serving::member_pointer)> members{};
         std::function<bool(decision::ownership::owned_workers)> owned{};
+        // Addresses of the VMs that the platform lists as leaving.
+        std::function<bool(std::set<std::string, std::less<>>)> leaving_vms{};
     };
 
     members_duty(
--- a/packages/daemon/serving/peer_rooms.cpp
+++ b/packages/daemon/serving/peer_rooms.cpp
@@ -97,6 +97,7 @@
 const member* peer_rooms::choose(
     std::string_view service,
     std::span<const base::endpoint> avoid,
+    bool last_resort,
     const decision::membership::member_snapshot& members,
     const decision::records::configuration& in_force,
     const std::function<std::uint32_t(std::string_view)>& unheard_slots)
@@ -112,7 +113,11 @@
         {
             continue;
         }
-        const auto room = room_of(one, service, unheard_slots);
+        auto room = room_of(one, service, unheard_slots);
+        if (last_resort && room.slots > 0)
+        {
+            room.free = std::max(room.free, 1U);
+        }
         all.push_back(candidate(one, service, room.free, deployment));
         all.back().index = at;
     }
--- a/packages/daemon/serving/peer_rooms.hpp
+++ b/packages/daemon/serving/peer_rooms.hpp
@@ -36,10 +36,13 @@
 
     // The member that a request should be passed to; null without room.
     // Members at the caller addresses in `avoid` are left out.
+    // A daemon without workers of its own also tries those that reported none
+    // free, for their reports are old (`last_resort`).
     // `unheard_slots` are the slots of a member that has not reported yet.
     const decision::membership::member* choose(
         std::string_view service,
         std::span<const base::endpoint> avoid,
+        bool last_resort,
         const decision::membership::member_snapshot& members,
         const decision::records::configuration& in_force,
         const std::function<std::uint32_t(std::string_view)>& unheard_slots);
--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -277,9 +277,11 @@
 std::optional<peer_target> placement::choose_peer(
     std::string_view service, std::span<const base::endpoint> avoid)
 {
+    const bool nothing_here = own_capacity(service).slots == 0;
     const auto* chosen = peers_.choose(
         service,
         avoid,
+        nothing_here || !may_dispatch(),
         *members_,
         *configuration_,
         [&](std::string_view name) { return configured_slots(name, service); });
--- a/packages/daemon/serving/worker_health.cpp
+++ b/packages/daemon/serving/worker_health.cpp
@@ -1,5 +1,7 @@
 #include "daemon/serving/worker_health.hpp"
 
+#include <utility>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -74,13 +76,19 @@
 
 void worker_health::watch(std::set<base::endpoint> workers)
 {
-    watched_ = std::move(workers);
+    const auto before = std::exchange(watched_, std::move(workers));
     for (const auto& one : watched_)
     {
         if (polled_.insert(one).second)
         {
             asio::co_spawn(executor_, poll(one), asio::detached);
         }
+        else if (!before.contains(one))
+        {
+            // Came back while its loop still slept: nothing is admitted on
+            // it until it has been asked.
+            asio::co_spawn(executor_, ask_now(one), asio::detached);
+        }
     }
 }
 
@@ -99,6 +107,13 @@
     polled_.erase(worker);
 }
 
+asio::awaitable<void> worker_health::ask_now(base::endpoint worker)
+{
+    const auto keep = shared_from_this();
+    co_await ask(worker);
+    slots_->pump();
+}
+
 asio::awaitable<void> worker_health::ask(const base::endpoint& worker)
 {
     static_cast<void>(slots_->admission().take_highest(worker));
--- a/packages/daemon/serving/worker_health.hpp
+++ b/packages/daemon/serving/worker_health.hpp
@@ -28,6 +28,7 @@
 
 private:
     boost::asio::awaitable<void> poll(base::endpoint worker);
+    boost::asio::awaitable<void> ask_now(base::endpoint worker);
     boost::asio::awaitable<void> ask(const base::endpoint& worker);
 
     boost::asio::any_io_executor executor_;
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -58,9 +58,14 @@
           context_,
           [this](serving::member_pointer next)
           { places_.adopt_members(std::move(next)); }},
-      ownership_{context_, [this](decision::ownership::owned_workers next) {
-                     places_.adopt_ownership(std::move(next));
-                 }}
+      ownership_{
+          context_,
+          [this](decision::ownership::owned_workers next)
+          { places_.adopt_ownership(std::move(next)); }},
+      leaving_vms_{
+          context_, [this](std::set<std::string, std::less<>> addresses) {
+              places_.adopt_leaving_vms(std::move(addresses));
+          }}
 {
 }
 
@@ -111,6 +116,12 @@
     return ownership_.push(std::move(next));
 }
 
+bool serving_duty::offer_leaving_vms(
+    std::set<std::string, std::less<>> addresses)
+{
+    return leaving_vms_.push(std::move(addresses));
+}
+
 void serving_duty::report()
 {
     if (report_)
--- a/packages/daemon/serving_duty.hpp
+++ b/packages/daemon/serving_duty.hpp
@@ -53,6 +53,7 @@
     // Hands newer views of the zone over; called by the members duty.
     bool offer_members(serving::member_pointer next);
     bool offer_ownership(decision::ownership::owned_workers next);
+    bool offer_leaving_vms(std::set<std::string, std::less<>> addresses);
     // Where to tell the members duty what it needs; set before start().
     void report_to(std::function<bool(serving_report)> receive)
     {
@@ -89,6 +90,7 @@
     hint_receiver hints_;
     duty_link<serving::member_pointer> members_;
     duty_link<decision::ownership::owned_workers> ownership_;
+    duty_link<std::set<std::string, std::less<>>> leaving_vms_;
     std::function<bool(serving_report)> report_;
     std::thread thread_;
 };
--- a/tests/end_to_end/capacity_test.cpp
+++ b/tests/end_to_end/capacity_test.cpp
@@ -44,6 +44,19 @@
         .count();
 }
 
+// The platform's list with this upstream VM as leaving.
+std::string leaving_list(const base::endpoint& worker)
+{
+    return json::serialize(json::object{
+        {"vms",
+         json::array{json::object{
+             {"name", "old-upstream"},
+             {"address", worker.address},
+             {"zone", capped_zone},
+             {"role", "upstream"},
+             {"state", "leaving"}}}}});
+}
+
 struct small_cluster
 {
     small_cluster()
@@ -161,6 +174,7 @@
 {
     const auto by_health = cluster.workers().at(0).address;
     const auto by_record = cluster.workers().at(2).address;
+    const auto by_list = cluster.workers().at(4).address;
     std::int64_t drained_us{};
     std::thread operators{
         [&]
@@ -174,11 +188,12 @@
                 {"target", to_string(by_record)}}));
             drained_us = now_us();
             cluster.set_faults(by_health, R"({"draining":true})");
+            cluster.set_faults(cluster.platform(), leaving_list(by_list));
         }};
     load(seconds{8});
     operators.join();
     constexpr std::int64_t bound_us = 5'000'000;
-    for (const auto& worker : {by_health, by_record})
+    for (const auto& worker : {by_health, by_record, by_list})
     {
         const auto runs = runs_of(worker);
         BOOST_TEST(!runs.empty());
