--- a/packages/daemon/serving/peer_rooms.cpp
+++ b/packages/daemon/serving/peer_rooms.cpp
@@ -97,6 +97,7 @@
 const member* peer_rooms::choose(
     std::string_view service,
     std::span<const base::endpoint> avoid,
+    bool last_resort,
     const decision::membership::member_snapshot& members,
     const decision::records::configuration& in_force,
     const std::function<std::uint32_t(std::string_view)>& unheard_slots)
@@ -114,6 +115,10 @@
         }
         const auto room = room_of(one, service, unheard_slots);
         all.push_back(candidate(one, service, room.free, deployment));
+        if (last_resort && room.slots > 0)
+        {
+            all.back().free = std::max(all.back().free, 1U);
+        }
         all.back().index = at;
     }
     const auto chosen = decision::routing::choose_overflow(
