Serving: retries under a budget, hedges, deadlines kept, poison refused

Cause: each request had one attempt, so a slow worker, a silent connection or a worker that died with the request was the caller's to bear, and a request that ends workers ended one for each sending.

Idempotent requests race attempts on other workers and new connections, paid for by the service's budget; the first whole own answer is taken and the losers are cancelled by closing their connections. Only the entry that the caller asked repeats, never a peer, so budgets do not multiply. A filing is placed elsewhere only after proof that it did not run. After half of the time a request that hangs on a kept connection may be repeated once for each slot in 30 s outside the budget. A worker's death makes what ran there run alone next; the second death refuses it. What cannot make its deadline is refused before it is forwarded. The client skips 1xx answers and takes none without a length, not even an empty one.

Ruled out: cutting an attempt at a fixed share of the time (loses requests that are slow and sound when the budget is spent); retries by peers (budgets would multiply); a percentile over all answers of a service (see the decision code). tests/stand_ins/link relays TCP with delay, jitter, cuts and silence, and cluster::start_worker_links puts it before the workers.

--- a/packages/daemon/serving/attempts.cpp
+++ b/packages/daemon/serving/attempts.cpp
@@ -1,150 +1,350 @@
 #include "daemon/serving/attempts.hpp"
 
+#include <algorithm>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
+#include "base/log.hpp"
+#include "daemon/serving/attempt_rules.hpp"
+#include "decision/retries/time_left.hpp"
 #include "net/http_client.hpp"
 
 namespace waxwingvalve::daemon::serving
 {
 
 namespace asio = boost::asio;
+using base::log_channel;
+using base::log_event;
+using base::log_level;
+using base::monotonic_clock;
 using base::result_code;
+using decision::retries::poison_verdict;
 using std::chrono::milliseconds;
 
 namespace
 {
 
-// How lately a kept connection must have been heard of before it carries a
-// request: something in between forgets an idle one without telling.
-constexpr milliseconds look_up_proven_within{30'000};
-constexpr milliseconds filing_proven_within{200};
+constexpr milliseconds wait_step{2};
+constexpr std::uint32_t fastest_percentile = 5;
 
-finished failed(const net::exchange_failure& failure)
+asio::awaitable<void> pause(base::duration time)
 {
-    const bool may_have_run =
-        failure.progress == net::exchange_progress::maybe_sent;
-    return refuse(
-        failure.reason, may_have_run ? outcome::unknown : outcome::not_run);
+    asio::steady_timer timer{co_await asio::this_coro::executor};
+    timer.expires_after(time);
+    co_await timer.async_wait(asio::use_awaitable);
 }
 
-bool echoes(const net::http_response& answer, std::string_view attempt)
+void set_deadline(net::http_request& request, base::instant deadline)
 {
-    return net::find_field(answer.fields, attempt_field) == attempt;
+    const auto left = deadline - monotonic_clock::now();
+    net::set_field(
+        request.fields,
+        deadline_field,
+        fmt::format("{}", decision::retries::deadline_to_pass_on(left)));
 }
 
-// An upstream refuses a request that it did not run by this status and
-// outcome. Only the echoed attempt makes the refusal that of this attempt.
-bool shed(const net::http_response& answer)
+// Ends a trial without a verdict when nothing else ended it.
+class open_trial
+{
+public:
+    open_trial(
+        decision::retries::poison_table& table,
+        decision::retries::request_digest digest)
+        : table_{table}, digest_{digest}
+    {
+    }
+    ~open_trial() { table_.give_up(digest_); }
+    open_trial(const open_trial&) = delete;
+    open_trial& operator=(const open_trial&) = delete;
+
+private:
+    decision::retries::poison_table& table_;
+    decision::retries::request_digest digest_;
+};
+
+} // namespace
+
+attempts::attempts(
+    const schema::daemon_settings& settings, placement& places, figures& counts)
+    : settings_{settings}, places_{places}, counts_{counts}
 {
-    constexpr unsigned unavailable = 503;
-    return answer.status == unavailable &&
-           net::find_field(answer.fields, outcome_field) ==
-               to_string(outcome::not_run);
 }
 
-// What a worker's whole answer means.
-finished judge(net::http_response answer, std::string_view attempt)
+std::string attempts::next_attempt_id()
 {
-    if (!echoes(answer, attempt))
-    {
-        return refuse({result_code::answer_mismatched}, outcome::unknown);
-    }
-    if (shed(answer))
+    return fmt::format("{}-{}", settings_.name, ++last_attempt_);
+}
+
+attempts::service_state& attempts::state_of(const schema::service& service)
+{
+    const auto [found, added] = services_.try_emplace(
+        service.name,
+        service_state{decision::retries::retry_budget{service.retry_percent}});
+    found->second.budget.set_percent(service.retry_percent);
+    return found->second;
+}
+
+std::vector<decision::retries::request_digest> attempts::poison_digests() const
+{
+    return poison_.published(monotonic_clock::now());
+}
+
+std::uint32_t attempts::told_by_members(
+    decision::retries::request_digest digest) const
+{
+    std::uint32_t out{};
+    for (const auto& member : places_.members().members)
     {
-        return refuse({result_code::shed_by_upstream}, outcome::not_run);
+        out += static_cast<std::uint32_t>(
+            std::ranges::count(member.report.poison_digests, digest));
     }
-    // These two fields are the system's own: an upstream that sets them must
-    // not speak in its name.
-    net::remove_field(answer.fields, outcome_field);
-    net::remove_field(answer.fields, code_field);
-    return {outcome::done, std::move(answer)};
+    return out;
 }
 
-// What a peer's whole answer means: without an outcome of the peer's own it
-// is the upstream's answer.
-finished judge_peer(net::http_response answer, std::string_view attempt)
+asio::awaitable<finished> attempts::run(job& work)
 {
-    if (!echoes(answer, attempt))
+    const auto* service = places_.in_force().find_service(work.service);
+    if (service == nullptr)
+    {
+        co_return refuse(
+            {result_code::service_unknown, work.service}, outcome::not_run);
+    }
+    auto& state = state_of(*service);
+    const order in{
+        .state = &state,
+        .service = work.service,
+        .deadline = work.deadline,
+        .idempotent = work.operation.idempotent,
+        .may_pass = !work.passed,
+        .digest = decision::retries::digest_of(
+            work.service,
+            work.request.method,
+            work.request.target,
+            work.request.body),
+        .hedge_percentile = service->hedge_percentile};
+    const auto now = monotonic_clock::now();
+    const auto fastest = state.latency.fastest(fastest_percentile, now);
+    if (!decision::retries::can_make_deadline(in.deadline - now, fastest))
     {
-        return refuse({result_code::answer_mismatched}, outcome::unknown);
+        counts_.refused.fetch_add(1, std::memory_order_relaxed);
+        co_return refuse({result_code::deadline_too_short}, outcome::not_run);
     }
-    const auto said = net::find_field(answer.fields, outcome_field);
-    auto what = outcome::unknown;
-    if (!said || said == to_string(outcome::done))
+    const auto verdict = co_await admit(in);
+    if (verdict == poison_verdict::run_alone)
     {
-        what = outcome::done;
+        co_return co_await run_suspect(in, work);
     }
-    else if (said == to_string(outcome::not_run))
+    if (verdict != poison_verdict::clear)
     {
-        what = outcome::not_run;
+        counts_.refused.fetch_add(1, std::memory_order_relaxed);
+        const auto code = verdict == poison_verdict::refuse
+                              ? result_code::request_poisonous
+                              : result_code::queue_timeout;
+        co_return refuse({code}, outcome::not_run);
     }
-    return {what, std::move(answer)};
+    state.budget.count_first_attempt(now);
+    if (in.idempotent && in.may_pass)
+    {
+        co_return co_await run_race(in, work);
+    }
+    co_return co_await run_once(in, work);
 }
 
-} // namespace
-
-attempts::attempts(
-    const schema::daemon_settings& settings, placement& places, figures& counts)
-    : settings_{settings}, places_{places}, counts_{counts}
+asio::awaitable<poison_verdict> attempts::admit(const order& in)
 {
+    while (true)
+    {
+        const auto now = monotonic_clock::now();
+        const auto verdict =
+            poison_.admit(in.digest, told_by_members(in.digest), now);
+        if (verdict != poison_verdict::wait || now >= in.deadline)
+        {
+            co_return verdict;
+        }
+        co_await pause(wait_step);
+    }
 }
 
-std::string attempts::next_attempt_id()
+// Never sends a request again of which a byte may have left: only an attempt
+// that provably did not run is followed by another one.
+asio::awaitable<finished> attempts::run_once(const order& in, job& work)
 {
-    return fmt::format("{}-{}", settings_.name, ++last_attempt_);
+    std::vector<base::endpoint> tried;
+    std::optional<finished> last;
+    while (tried.size() < most_attempts)
+    {
+        auto where = places_.place(in.service, in.may_pass, tried);
+        if (auto* reason = std::get_if<base::error>(&where))
+        {
+            counts_.refused.fetch_add(1, std::memory_order_relaxed);
+            if (last)
+            {
+                break;
+            }
+            co_return refuse(*reason, outcome::not_run);
+        }
+        tried.push_back(address_of(where));
+        auto result = co_await run_at(
+            where,
+            work.request,
+            in,
+            options_for(in.idempotent),
+            std::make_shared<race_branch>());
+        const auto now = monotonic_clock::now();
+        const bool again =
+            result.next == next_step::place_elsewhere && in.may_pass &&
+            now < in.deadline &&
+            (!result.loads_upstream || in.state->budget.spend(now));
+        last = std::move(result.end);
+        if (!again)
+        {
+            break;
+        }
+        log_further(in.service, tried.back(), tried.size(), "not-run-there");
+    }
+    co_return std::move(*last);
 }
 
-asio::awaitable<finished> attempts::run(job& work)
+asio::awaitable<attempt_result> attempts::run_at(
+    placed& where,
+    net::http_request request,
+    order in,
+    exchange_options options,
+    std::shared_ptr<race_branch> branch)
 {
-    auto where = places_.place(work.service, !work.passed);
+    const auto target = address_of(where);
+    const auto began = monotonic_clock::now();
+    attempt_result out;
     if (auto* hold = std::get_if<slot_hold>(&where))
     {
-        co_return co_await run_here(work, std::move(*hold));
+        out = co_await run_here(
+            *hold, std::move(request), in, options, std::move(branch));
     }
-    if (const auto* peer = std::get_if<peer_target>(&where))
+    else
     {
         counts_.passed_to_peers.fetch_add(1, std::memory_order_relaxed);
-        co_return co_await pass_on(work, *peer);
+        out = co_await pass_on(
+            std::get<peer_target>(where), std::move(request), in);
+    }
+    if (out.end.what == outcome::done)
+    {
+        const auto now = monotonic_clock::now();
+        in.state->latency.add(base::to_string(target), now - began, now);
     }
-    counts_.refused.fetch_add(1, std::memory_order_relaxed);
-    co_return refuse(std::get<base::error>(where), outcome::not_run);
+    co_return out;
 }
 
-asio::awaitable<finished> attempts::run_here(job& work, slot_hold hold)
+asio::awaitable<attempt_result> attempts::run_here(
+    slot_hold& hold,
+    net::http_request request,
+    order in,
+    exchange_options options,
+    std::shared_ptr<race_branch> branch)
 {
+    const auto pool = hold.pool();
     const auto attempt = next_attempt_id();
-    const auto left = work.deadline - base::monotonic_clock::now();
-    auto& fields = work.request.fields;
-    net::set_field(fields, attempt_field, attempt);
-    net::set_field(
-        fields, deadline_field, fmt::format("{}", base::to_milliseconds(left)));
-    const auto proven_within = work.operation.idempotent ? look_up_proven_within
-                                                         : filing_proven_within;
-    auto answer = co_await hold.pool().exchange(
-        work.request, work.deadline, proven_within);
-    if (!answer)
+    net::set_field(request.fields, attempt_field, attempt);
+    set_deadline(request, in.deadline);
+    running_mark mark{pool, in.digest};
+    auto answer =
+        co_await pool->exchange(request, in.deadline, options, branch->trace);
+    if (answer)
+    {
+        co_return judge_answer(std::move(answer).value(), attempt);
+    }
+    auto lost = judge_failure(answer.error());
+    if (lost.next != next_step::repeat)
     {
-        co_return failed(answer.error());
+        co_return lost;
     }
-    co_return judge(std::move(answer).value(), attempt);
+    co_return co_await examine_loss(*pool, mark, std::move(lost));
 }
 
-asio::awaitable<finished> attempts::pass_on(job& work, const peer_target& peer)
+asio::awaitable<attempt_result> attempts::examine_loss(
+    worker_pool& pool, running_mark& mark, attempt_result lost)
+{
+    if (!co_await pool.refuses_connections())
+    {
+        co_return lost;
+    }
+    const auto running = mark.claim_death();
+    if (!running.empty())
+    {
+        poison_.worker_died(running, monotonic_clock::now());
+        log_event(
+            log_level::warning,
+            log_channel::serving,
+            "worker_died",
+            "worker",
+            base::to_string(pool.address()),
+            "running",
+            running.size());
+    }
+    co_return attempt_result{
+        refuse({result_code::worker_died}, outcome::unknown),
+        next_step::repeat_alone,
+        true};
+}
+
+asio::awaitable<attempt_result> attempts::pass_on(
+    const peer_target& peer, net::http_request request, order in)
 {
-    const auto left = work.deadline - base::monotonic_clock::now();
-    auto& fields = work.request.fields;
     const auto attempt = next_attempt_id();
-    net::set_field(fields, attempt_field, attempt);
-    net::set_field(fields, passed_field, settings_.name);
-    net::set_field(
-        fields, deadline_field, fmt::format("{}", base::to_milliseconds(left)));
-    auto answer =
-        co_await net::fetch(peer.caller_address, work.request, work.deadline);
+    net::set_field(request.fields, attempt_field, attempt);
+    net::set_field(request.fields, passed_field, settings_.name);
+    set_deadline(request, in.deadline);
+    // A connection of its own: a kept one may have been forgotten by
+    // something in between.
+    auto answer = co_await net::fetch(
+        peer.caller_address, std::move(request), in.deadline);
     if (!answer)
     {
-        co_return failed(answer.error());
+        co_return judge_failure(answer.error());
+    }
+    co_return judge_peer_answer(std::move(answer).value(), attempt);
+}
+
+asio::awaitable<finished> attempts::run_suspect(const order& in, job& work)
+{
+    const open_trial trial{poison_, in.digest};
+    auto where = places_.place(in.service, in.may_pass);
+    if (const auto* reason = std::get_if<base::error>(&where))
+    {
+        co_return refuse(*reason, outcome::not_run);
+    }
+    if (const auto* peer = std::get_if<peer_target>(&where))
+    {
+        auto passed = co_await pass_on(*peer, work.request, in);
+        co_return std::move(passed.end);
+    }
+    auto result = co_await run_reserved(
+        in, std::get<slot_hold>(std::move(where)), work.request);
+    if (result.end.what == outcome::done)
+    {
+        poison_.ran_alone(in.digest);
+    }
+    co_return std::move(result.end);
+}
+
+asio::awaitable<attempt_result> attempts::run_reserved(
+    const order& in, slot_hold hold, const net::http_request& request)
+{
+    const auto pool = hold.pool();
+    const worker_reservation alone{pool};
+    while (pool->in_use() > 1)
+    {
+        if (monotonic_clock::now() >= in.deadline)
+        {
+            co_return attempt_result{
+                refuse({result_code::queue_timeout}, outcome::not_run)};
+        }
+        co_await pause(wait_step);
     }
-    co_return judge_peer(std::move(answer).value(), attempt);
+    co_return co_await run_here(
+        hold, request, in, {.fresh = true}, std::make_shared<race_branch>());
 }
 
 } // namespace waxwingvalve::daemon::serving
--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -38,6 +38,11 @@
         std::move(out));
 }
 
+bool contains(std::span<const base::endpoint> list, const base::endpoint& where)
+{
+    return std::ranges::find(list, where) != list.end();
+}
+
 } // namespace
 
 placement::placement(
@@ -153,14 +158,15 @@
 }
 
 std::optional<peer_target> placement::choose_peer(
-    const schema::service& service)
+    const schema::service& service, std::span<const base::endpoint> avoid)
 {
     const auto& members = members_->members;
     for (std::size_t tried = 0; tried < members.size(); ++tried)
     {
         const auto& peer = members[next_peer_++ % members.size()];
         if (peer.state == decision::membership::member_state::alive &&
-            slots_of(peer.report.name, service) > 0)
+            slots_of(peer.report.name, service) > 0 &&
+            !contains(avoid, peer.report.caller_address))
         {
             return peer_target{peer.report.name, peer.report.caller_address};
         }
@@ -168,7 +174,10 @@
     return std::nullopt;
 }
 
-placed placement::place(std::string_view service, bool may_pass)
+placed placement::place(
+    std::string_view service,
+    bool may_pass,
+    std::span<const base::endpoint> avoid)
 {
     const auto* record = configuration_->find_service(service);
     if (record == nullptr)
@@ -176,9 +185,10 @@
         return base::error{result_code::service_unknown, std::string{service}};
     }
     const auto& own = owned_[record->name];
-    const auto freest = std::ranges::max_element(
-        own, {}, [](const auto& pool) { return pool->free_slots(); });
-    if (freest != own.end() && (*freest)->free_slots() > 0)
+    const auto room = [&](const auto& pool)
+    { return contains(avoid, pool->address()) ? 0 : pool->free_slots(); };
+    const auto freest = std::ranges::max_element(own, {}, room);
+    if (freest != own.end() && room(*freest) > 0)
     {
         log_event(
             log_level::info,
@@ -196,7 +206,7 @@
             configuration_->revision);
         return slot_hold{*freest};
     }
-    auto peer = may_pass ? choose_peer(*record) : std::nullopt;
+    auto peer = may_pass ? choose_peer(*record, avoid) : std::nullopt;
     if (!peer)
     {
         return base::error{result_code::no_room, std::string{service}};
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -72,7 +73,11 @@
     }
 
     // `may_pass` is false for a request that a peer passed on already.
-    placed place(std::string_view service, bool may_pass);
+    // Workers and peers at the addresses in `avoid` are left out.
+    placed place(
+        std::string_view service,
+        bool may_pass,
+        std::span<const base::endpoint> avoid = {});
 
     // Capacity that the named daemon owns by the configuration.
     capacity own_capacity(std::string_view service) const;
@@ -85,7 +90,8 @@
     std::optional<std::string_view> owner_of(const schema::worker& one) const;
     bool owns(const schema::worker& one) const;
     void rebuild_pools();
-    std::optional<peer_target> choose_peer(const schema::service& service);
+    std::optional<peer_target> choose_peer(
+        const schema::service& service, std::span<const base::endpoint> avoid);
 
     boost::asio::any_io_executor executor_;
     const schema::daemon_settings& settings_;
--- a/packages/daemon/serving/worker_pool.cpp
+++ b/packages/daemon/serving/worker_pool.cpp
@@ -1,5 +1,7 @@
 #include "daemon/serving/worker_pool.hpp"
 
+#include <algorithm>
+
 #include "base/time.hpp"
 
 namespace waxwingvalve::daemon::serving
@@ -45,9 +47,12 @@
 asio::awaitable<net::exchange_result> worker_pool::exchange(
     const net::http_request& request,
     base::instant deadline,
-    base::duration proven_within)
+    exchange_options options,
+    exchange_trace& trace)
 {
-    auto connection = take_kept(proven_within);
+    auto connection =
+        options.fresh ? nullptr : take_kept(options.proven_within);
+    trace.kept = connection != nullptr;
     if (!connection)
     {
         connection = std::make_unique<net::http_connection>(executor_);
@@ -67,4 +72,65 @@
     co_return answer;
 }
 
+asio::awaitable<bool> worker_pool::refuses_connections()
+{
+    constexpr std::chrono::milliseconds probe_time{250};
+    net::http_connection probe{executor_};
+    const auto connected = co_await probe.connect(
+        worker_.address, base::monotonic_clock::now() + probe_time);
+    co_return !connected &&
+        connected.error().code == base::result_code::connect_failed;
+}
+
+bool worker_pool::spend_silence_allowance(base::instant now)
+{
+    constexpr std::chrono::seconds allowance_period{30};
+    if (now - silence_begin_ >= allowance_period)
+    {
+        silence_begin_ = now;
+        silence_spent_ = 0;
+    }
+    if (silence_spent_ >= worker_.slots)
+    {
+        return false;
+    }
+    ++silence_spent_;
+    return true;
+}
+
+worker_reservation::worker_reservation(std::shared_ptr<worker_pool> pool)
+    : pool_{std::move(pool)}
+{
+    pool_->reserved_ = true;
+}
+
+worker_reservation::~worker_reservation()
+{
+    pool_->reserved_ = false;
+}
+
+running_mark::running_mark(
+    std::shared_ptr<worker_pool> pool, decision::retries::request_digest digest)
+    : pool_{std::move(pool)}, digest_{digest}, began_{
+                                                   base::monotonic_clock::now()}
+{
+    pool_->running_.push_back(digest_);
+}
+
+running_mark::~running_mark()
+{
+    auto& running = pool_->running_;
+    running.erase(std::ranges::find(running, digest_));
+}
+
+std::vector<decision::retries::request_digest> running_mark::claim_death()
+{
+    if (began_ <= pool_->last_death_)
+    {
+        return {};
+    }
+    pool_->last_death_ = base::monotonic_clock::now();
+    return pool_->running_;
+}
+
 } // namespace waxwingvalve::daemon::serving
--- a/packages/decision/retries/latency_window.cpp
+++ b/packages/decision/retries/latency_window.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <bit>
 #include <numeric>
-#include <vector>
 
 namespace waxwingvalve::decision::retries
 {
@@ -102,17 +101,24 @@
     found->second.add(took, now);
 }
 
-std::optional<base::duration> service_latency::typical(
+std::vector<base::duration> service_latency::percentiles(
     std::uint32_t percent, base::instant now) const
 {
-    std::vector<base::duration> known;
+    std::vector<base::duration> out;
     for (const auto& [target, window] : targets_)
     {
         if (const auto one = window.percentile(percent, now))
         {
-            known.push_back(*one);
+            out.push_back(*one);
         }
     }
+    return out;
+}
+
+std::optional<base::duration> service_latency::typical(
+    std::uint32_t percent, base::instant now) const
+{
+    auto known = percentiles(percent, now);
     if (known.empty())
     {
         return std::nullopt;
@@ -123,4 +129,15 @@
     return *middle;
 }
 
+std::optional<base::duration> service_latency::fastest(
+    std::uint32_t percent, base::instant now) const
+{
+    const auto known = percentiles(percent, now);
+    if (known.empty())
+    {
+        return std::nullopt;
+    }
+    return *std::ranges::min_element(known);
+}
+
 } // namespace waxwingvalve::decision::retries
--- a/packages/decision/retries/latency_window.hpp
+++ b/packages/decision/retries/latency_window.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/time.hpp"
 
@@ -63,7 +64,14 @@
     std::optional<base::duration> typical(
         std::uint32_t percent, base::instant now) const;
 
+    // The lowest of the targets' own percentiles.
+    std::optional<base::duration> fastest(
+        std::uint32_t percent, base::instant now) const;
+
 private:
+    std::vector<base::duration> percentiles(
+        std::uint32_t percent, base::instant now) const;
+
     std::map<std::string, latency_window, std::less<>> targets_;
 };
 
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,5 +1,8 @@
 #include "net/http_client.hpp"
 
+#include <optional>
+#include <tuple>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -22,6 +25,7 @@
 {
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned first_final_status = 200;
 constexpr std::uint64_t answer_bytes_limit = 8ULL * 1024 * 1024;
 
 http::request<http::string_body> to_message(const http_request& request)
@@ -67,6 +71,12 @@
     return {otherwise, failure.message()};
 }
 
+bool interim(const http::response<http::string_body>& message)
+{
+    return message.result_int() < first_final_status &&
+           message.result() != http::status::switching_protocols;
+}
+
 } // namespace
 
 struct http_connection::state
@@ -129,16 +139,29 @@
                          : exchange_progress::maybe_sent});
     }
 
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(answer_bytes_limit);
-    // HEAD answers carry a length but no body.
-    parser.skip(request.method == "HEAD");
-    auto [read_failure, read] = co_await http::async_read(
-        state_->stream, state_->buffer, parser, use_tuple);
+    // Interim answers (1xx) come before the answer and are not passed on.
+    constexpr int most_interim_answers = 8;
+    std::optional<http::response_parser<http::string_body>> parser;
+    beast::error_code read_failure;
+    for (int seen = 0; seen <= most_interim_answers; ++seen)
+    {
+        parser.emplace();
+        parser->body_limit(answer_bytes_limit);
+        // HEAD answers carry a length but no body.
+        parser->skip(request.method == "HEAD");
+        std::tie(read_failure, std::ignore) = co_await http::async_read(
+            state_->stream, state_->buffer, *parser, use_tuple);
+        if (read_failure || !interim(parser->get()))
+        {
+            break;
+        }
+    }
     // A body that only ends with the connection cannot be told from one that
-    // was cut short, so it does not count as whole.
-    const bool whole = !parser.need_eof() || parser.get().body().empty();
-    if (read_failure || !whole)
+    // was cut short, so it does not count as whole, not even when empty. An
+    // answer that switches protocols is none at all.
+    const bool whole = !read_failure && !parser->need_eof() &&
+                       parser->get().result_int() >= first_final_status;
+    if (!whole)
     {
         close();
         co_return boost::outcome_v2::failure(exchange_failure{
@@ -147,12 +170,12 @@
     }
     state_->last_heard = base::monotonic_clock::now();
     state_->stream.expires_never();
-    state_->usable = parser.keep_alive() && state_->buffer.size() == 0;
+    state_->usable = parser->keep_alive() && state_->buffer.size() == 0;
     if (!state_->usable)
     {
         close();
     }
-    co_return to_response(parser.release());
+    co_return to_response(parser->release());
 }
 
 bool http_connection::open() const
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -28,7 +28,9 @@
 constexpr std::uint16_t peer_port = 8081;
 constexpr std::uint16_t operator_port = 8082;
 constexpr std::uint16_t worker_port = 9000;
+constexpr std::uint16_t worker_link_port = 9100;
 constexpr std::uint16_t platform_port = 7000;
+constexpr std::uint16_t link_control_port = 7100;
 constexpr std::uint16_t guard_port = 6999;
 
 std::filesystem::path binary(std::string_view name)
@@ -106,6 +108,7 @@
 cluster::~cluster()
 {
     daemons_.clear();
+    links_.reset();
     upstreams_.clear();
     platform_process_.reset();
     std::error_code ignored;
@@ -271,6 +274,27 @@
         });
 }
 
+void cluster::start_worker_links()
+{
+    link_control_ = address(platform_zone, 1, link_control_port);
+    std::vector<std::string> words{"--control", to_string(link_control_)};
+    for (const auto& one : workers_)
+    {
+        words.emplace_back("--link");
+        words.push_back(
+            to_string(recorded_address(one)) + "=" + to_string(one.address));
+    }
+    links_ = std::make_unique<process>(
+        binary("tests/stand_ins/link_stand_in"), words, folder_ / "links.log");
+    wait_until([&] { return !get_json(link_control_, "/control").empty(); });
+}
+
+base::endpoint cluster::recorded_address(const upstream_worker& one) const
+{
+    const bool linked = link_control_.port != 0;
+    return {one.address.address, linked ? worker_link_port : worker_port};
+}
+
 void cluster::start_daemon(const std::string& name)
 {
     daemons_[name] = std::make_unique<process>(
@@ -384,7 +408,7 @@
         if (one.service == service)
         {
             workers.push_back(
-                {{"address", to_string(one.address)},
+                {{"address", to_string(recorded_address(one))},
                  {"zone", one.zone},
                  {"slots", one.slots}});
         }
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -60,6 +60,12 @@
     void start_platform();
     // One process for each service's workers in each zone.
     void start_upstreams();
+    // Puts a relay before each worker (tests/stand_ins/link); records accepted
+    // from then on name the relays.
+    void start_worker_links();
+    const base::endpoint& link_control() const { return link_control_; }
+    // What a record calls this worker.
+    base::endpoint recorded_address(const upstream_worker& one) const;
     void start_daemons();
     void start_daemon(const std::string& name);
     process& daemon(const std::string& name) { return *daemons_.at(name); }
@@ -108,6 +114,8 @@
     std::vector<upstream_worker> workers_;
     std::unique_ptr<process> platform_process_;
     std::vector<process> upstreams_;
+    std::unique_ptr<process> links_;
+    base::endpoint link_control_;
     std::map<std::string, std::unique_ptr<process>> daemons_;
 };
 
--- a/tests/stand_ins/upstream/worker.cpp
+++ b/tests/stand_ins/upstream/worker.cpp
@@ -148,6 +148,7 @@
          in.method,
          in.target,
          in.body,
+         field(in, "Waxwing-Deadline-Ms"),
          now_us(),
          0});
     co_await wait(service_time());
@@ -176,12 +177,19 @@
     return milliseconds{time};
 }
 
+bool worker::fails_by_chance()
+{
+    constexpr std::int64_t whole = 100;
+    return std::uniform_int_distribution<std::int64_t>{0, whole - 1}(random_) <
+           faults_.fail_percent;
+}
+
 net::http_response worker::finish(
     const net::http_request& in, std::size_t run_at)
 {
     runs_[run_at].ended_us = now_us();
     auto out = to_reply(
-        faults_.fail ? status_failed : status_ok,
+        faults_.fail || fails_by_chance() ? status_failed : status_ok,
         json::object{
             {"worker", to_string(where_)},
             {"method", in.method},
@@ -235,6 +243,7 @@
         take(set, "draining", faults_.draining);
         take(set, "shed", faults_.shed);
         take(set, "fail", faults_.fail);
+        take(set, "fail_percent", faults_.fail_percent);
         take(set, "lose_answers", faults_.lose_answers);
         take(set, "cross_answers", faults_.cross_answers);
         take(set, "claimed_running", faults_.claimed_running);
@@ -250,6 +259,7 @@
              {"method", one.method},
              {"target", one.target},
              {"body", one.body},
+             {"deadline_ms", one.deadline_ms},
              {"began_us", one.began_us},
              {"ended_us", one.ended_us}});
     }
--- a/tests/stand_ins/upstream/worker.hpp
+++ b/tests/stand_ins/upstream/worker.hpp
@@ -34,6 +34,8 @@
     bool shed{false};
     // Answers each request with 500 after running it.
     bool fail{false};
+    // The same for this share of the requests.
+    std::int64_t fail_percent{0};
     // Runs, then closes the connection without an answer.
     std::int64_t lose_answers{0};
     // Runs, then sends an answer with another attempt's id.
@@ -52,6 +54,8 @@
     std::string method{};
     std::string target{};
     std::string body{};
+    // The deadline that came with it, as text; empty without one.
+    std::string deadline_ms{};
     std::int64_t began_us{};
     // 0 while it runs, or when it was cancelled or crashed.
     std::int64_t ended_us{};
@@ -79,6 +83,7 @@
     net::http_response control(const net::http_request& in);
     net::http_response finish(const net::http_request& in, std::size_t run_at);
     std::chrono::milliseconds service_time();
+    bool fails_by_chance();
 
     boost::asio::io_context& context_;
     base::endpoint where_;
