--- a/packages/daemon/serving/attempts.cpp
+++ b/packages/daemon/serving/attempts.cpp
@@ -104,6 +104,17 @@
     return out;
 }
 
+place_request attempts::request_of(
+    const order& in, std::vector<base::endpoint> avoid)
+{
+    return {
+        .service = in.service,
+        .priority = in.priority,
+        .may_pass = in.may_pass,
+        .deadline = in.deadline,
+        .avoid = std::move(avoid)};
+}
+
 asio::awaitable<finished> attempts::run(job& work)
 {
     const auto* service = places_.in_force().find_service(work.service);
@@ -119,6 +130,7 @@
         .deadline = work.deadline,
         .idempotent = work.operation.idempotent,
         .may_pass = !work.passed,
+        .priority = work.operation.priority,
         .digest = decision::retries::digest_of(
             work.service,
             work.request.method,
@@ -176,7 +188,7 @@
     std::optional<finished> last;
     while (tried.size() < most_attempts)
     {
-        auto where = places_.place(in.service, in.may_pass, tried);
+        auto where = co_await places_.place_in_time(request_of(in, tried));
         if (auto* reason = std::get_if<base::error>(&where))
         {
             counts_.refused.fetch_add(1, std::memory_order_relaxed);
@@ -304,13 +316,19 @@
     {
         co_return judge_failure(answer.error());
     }
-    co_return judge_peer_answer(std::move(answer).value(), attempt);
+    auto result = judge_peer_answer(std::move(answer).value(), attempt);
+    if (result.next == next_step::place_elsewhere)
+    {
+        // The view of the peer was old; it ran nothing.
+        places_.note_peer_refused(peer.name, in.service);
+    }
+    co_return result;
 }
 
 asio::awaitable<finished> attempts::run_suspect(const order& in, job& work)
 {
     const open_trial trial{poison_, in.digest};
-    auto where = places_.place(in.service, in.may_pass);
+    auto where = co_await places_.place_in_time(request_of(in, {}));
     if (const auto* reason = std::get_if<base::error>(&where))
     {
         co_return refuse(*reason, outcome::not_run);
--- a/packages/daemon/serving/attempts.hpp
+++ b/packages/daemon/serving/attempts.hpp
@@ -64,6 +64,7 @@
         base::instant deadline{};
         bool idempotent{};
         bool may_pass{};
+        schema::priority priority{};
         decision::retries::request_digest digest{};
         std::uint32_t hedge_percentile{};
     };
@@ -85,6 +86,10 @@
         std::optional<finished> answer{};
     };
 
+    // What placement has to know of the request.
+    static place_request request_of(
+        const order& in, std::vector<base::endpoint> avoid);
+
     service_state& state_of(const schema::service& service);
     std::uint32_t told_by_members(
         decision::retries::request_digest digest) const;
@@ -103,12 +108,15 @@
     boost::asio::awaitable<decision::retries::poison_verdict> admit(
         const order& in);
 
-    // Starts a branch; false when no worker or peer can take it.
-    bool start_branch(
+    void start_branch(
         attempt_race& race,
         const order& in,
         progress& so_far,
+        placed chosen,
         exchange_options options);
+    // A branch on a new connection; false when no worker or peer can take it
+    // at once.
+    bool start_another(attempt_race& race, const order& in, progress& so_far);
     // Branches beside one that has not answered yet.
     void start_beside(
         attempt_race& race,
--- a/packages/daemon/serving/entries.cpp
+++ b/packages/daemon/serving/entries.cpp
@@ -20,29 +20,71 @@
     std::string name{};
     base::endpoint address{};
     std::uint32_t weight{};
+    // Prefix for the keys of filings sent there; empty when not known.
+    std::string key_prefix{};
     // 0 own zone, 1 own region, 2 elsewhere.
     int distance{};
 };
 
+// An entry of which little is free still gets a share, for its figure is old
+// by the time that the caller uses it.
+constexpr std::uint32_t least_weight = 1;
+
+std::uint32_t weight_of(std::uint32_t slots, std::uint32_t free)
+{
+    return slots == 0 ? 0 : std::max(free, least_weight);
+}
+
+int distance_of(
+    const decision::membership::member_report& to,
+    const schema::daemon_settings& from)
+{
+    if (to.zone == from.zone)
+    {
+        return 0;
+    }
+    return to.region == from.region ? 1 : 2;
+}
+
+// Leaving, dead and drained entries are not named, and serve on.
 std::vector<ranked_entry> rank_entries(
     const schema::service& service,
     const placement& places,
-    const schema::daemon_settings& settings)
+    const schema::daemon_settings& settings,
+    const std::string& own_key_prefix)
 {
     std::vector<ranked_entry> out;
-    out.push_back(
-        {settings.name,
-         settings.caller_address,
-         places.slots_of(settings.name, service),
-         0});
-    for (const auto& peer : settings.peers)
+    const auto& drained = places.drained();
+    const bool named_self =
+        !places.leaving() &&
+        !drained.includes_entry(settings.name, settings.zone);
+    if (named_self)
+    {
+        const auto own = places.own_capacity(service.name);
+        out.push_back(
+            {settings.name,
+             settings.caller_address,
+             weight_of(own.slots, own.free),
+             own_key_prefix,
+             0});
+    }
+    for (const auto& peer : places.members().members)
     {
-        const int region_distance = peer.region == settings.region ? 1 : 2;
+        using decision::membership::member_state;
+        const auto& report = peer.report;
+        const bool named = peer.state == member_state::alive ||
+                           peer.state == member_state::suspect;
+        if (!named || drained.includes_entry(report.name, report.zone))
+        {
+            continue;
+        }
+        const auto room = places.room_of(peer, service.name);
         out.push_back(
-            {peer.name,
-             peer.caller_address,
-             places.slots_of(peer.name, service),
-             peer.zone == settings.zone ? 0 : region_distance});
+            {report.name,
+             report.caller_address,
+             weight_of(room.slots, room.free),
+             report.key_prefix,
+             distance_of(report, settings)});
     }
     std::ranges::stable_sort(out, {}, &ranked_entry::distance);
     return out;
@@ -56,9 +98,14 @@
     boost::json::array list;
     for (const auto& entry : entries)
     {
-        list.push_back(
-            {{"address", base::to_string(entry.address)},
-             {"weight", entry.weight}});
+        boost::json::object one{
+            {"address", base::to_string(entry.address)},
+            {"weight", entry.weight}};
+        if (!entry.key_prefix.empty())
+        {
+            one["key_prefix"] = entry.key_prefix;
+        }
+        list.push_back(std::move(one));
     }
     return boost::json::serialize(boost::json::object{
         {"entries", std::move(list)},
@@ -71,7 +118,8 @@
 net::http_response answer_entries(
     const net::http_request& request,
     const placement& places,
-    const schema::daemon_settings& settings)
+    const schema::daemon_settings& settings,
+    const std::string& own_key_prefix)
 {
     const auto name = net::query_value(request.target, "service");
     const auto* service =
@@ -88,7 +136,8 @@
         return make_refusal(
             {result_code::client_address_invalid, *client}, outcome::not_run);
     }
-    const auto entries = rank_entries(*service, places, settings);
+    const auto entries =
+        rank_entries(*service, places, settings, own_key_prefix);
     base::log_event(
         base::log_level::info,
         base::log_channel::routing,
@@ -100,7 +149,7 @@
         "client",
         client.value_or("unnamed"),
         "chosen",
-        entries.front().name,
+        entries.empty() ? "none" : std::string_view{entries.front().name},
         "among",
         entries.size(),
         "why",
--- a/packages/daemon/serving/idempotent_attempts.cpp
+++ b/packages/daemon/serving/idempotent_attempts.cpp
@@ -52,11 +52,13 @@
 {
     attempt_race race{co_await asio::this_coro::executor};
     progress so_far{work.request};
-    if (!start_branch(race, in, so_far, options_for(true)))
+    auto where = co_await places_.place_in_time(request_of(in, {}));
+    if (const auto* reason = std::get_if<base::error>(&where))
     {
         counts_.refused.fetch_add(1, std::memory_order_relaxed);
-        co_return refuse({result_code::no_room, in.service}, outcome::not_run);
+        co_return refuse(*reason, outcome::not_run);
     }
+    start_branch(race, in, so_far, std::move(where), options_for(true));
     auto times = times_of(in, monotonic_clock::now());
     while (true)
     {
@@ -86,6 +88,12 @@
                 co_return alone;
             }
         }
+        if (next == next_step::place_elsewhere && !end->result.loads_upstream &&
+            so_far.answer->what == outcome::not_run)
+        {
+            // Nothing ran and nobody has room at once: wait for a slot.
+            co_return co_await run_once(in, work);
+        }
         co_return std::move(*so_far.answer);
     }
     if (so_far.answer && so_far.answer->what == outcome::done)
@@ -156,22 +164,14 @@
     }
 }
 
-bool attempts::start_branch(
+void attempts::start_branch(
     attempt_race& race,
     const order& in,
     progress& so_far,
+    placed chosen,
     exchange_options options)
 {
-    if (so_far.tried.size() >= most_attempts)
-    {
-        return false;
-    }
-    auto where = std::make_shared<placed>(
-        places_.place(in.service, in.may_pass, so_far.tried));
-    if (std::holds_alternative<base::error>(*where))
-    {
-        return false;
-    }
+    const auto where = std::make_shared<placed>(std::move(chosen));
     auto branch = std::make_shared<race_branch>();
     branch->target = address_of(*where);
     branch->began = monotonic_clock::now();
@@ -185,13 +185,29 @@
         [this, where, in, options, request = so_far.request](
             std::shared_ptr<race_branch> own)
         { return run_at(*where, request, in, options, std::move(own)); });
+}
+
+bool attempts::start_another(
+    attempt_race& race, const order& in, progress& so_far)
+{
+    if (so_far.tried.size() >= most_attempts)
+    {
+        return false;
+    }
+    auto where =
+        places_.place(in.service, in.may_pass, so_far.tried, in.priority);
+    if (std::holds_alternative<base::error>(where))
+    {
+        return false;
+    }
+    start_branch(race, in, so_far, std::move(where), {.fresh = true});
     return true;
 }
 
 void attempts::hedge(attempt_race& race, const order& in, progress& so_far)
 {
     if (race.running() == 1 && in.state->budget.spend(monotonic_clock::now()) &&
-        start_branch(race, in, so_far, {.fresh = true}))
+        start_another(race, in, so_far))
     {
         log_further(
             in.service, so_far.tried.back(), so_far.tried.size(), "hedge");
@@ -219,11 +235,11 @@
     {
         return;
     }
-    if (!start_branch(race, in, so_far, {.fresh = true}))
+    if (!start_another(race, in, so_far))
     {
         // Without another worker a new connection to the same one may do.
         so_far.tried.clear();
-        if (!start_branch(race, in, so_far, {.fresh = true}))
+        if (!start_another(race, in, so_far))
         {
             return;
         }
@@ -243,7 +259,7 @@
                      failed.next != next_step::repeat_alone &&
                      now < in.deadline && so_far.tried.size() < most_attempts &&
                      (!failed.loads_upstream || in.state->budget.spend(now));
-    if (!may || !start_branch(race, in, so_far, {.fresh = true}))
+    if (!may || !start_another(race, in, so_far))
     {
         return false;
     }
--- a/packages/daemon/serving/worker_pool.hpp
+++ b/packages/daemon/serving/worker_pool.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -53,6 +54,27 @@
     std::shared_ptr<worker_pool> pool_;
 };
 
+// What an exchange says of the worker.
+enum class worker_verdict : std::uint8_t
+{
+    // A whole answer that is no server error.
+    answered,
+    // It refused without running, or no connection could be made.
+    refused,
+    // A server error, or no whole answer: says nothing of its room.
+    failed,
+};
+
+// What the owner of a pool is told; either may be empty.
+struct worker_events
+{
+    std::function<void(worker_verdict)> ended{};
+    // A slot hold ended.
+    std::function<void()> released{};
+    // One request has the worker to itself from now on, or no longer.
+    std::function<void(bool)> reserved{};
+};
+
 // Invariant: `in_use() <= slots()` as far as this daemon admits; idle
 // connections ended their last exchange well.
 class worker_pool
@@ -60,16 +82,13 @@
 public:
     worker_pool(
         const boost::asio::any_io_executor& executor,
-        const schema::worker& worker);
+        const schema::worker& worker,
+        worker_events events = {});
 
     const base::endpoint& address() const { return worker_.address; }
     std::uint32_t slots() const { return worker_.slots; }
     std::uint32_t in_use() const { return in_use_; }
-    std::uint32_t free_slots() const
-    {
-        return reserved_ || in_use_ >= worker_.slots ? 0
-                                                     : worker_.slots - in_use_;
-    }
+    std::uint32_t free_slots() const { return worker_.slots - in_use_; }
     void set_slots(std::uint32_t slots) { worker_.slots = slots; }
 
     // Sends over a kept connection or a new one, as the options say.
@@ -97,14 +116,16 @@
     friend class running_mark;
     friend class slot_hold;
 
+    void tell(worker_verdict verdict) const;
+    void tell_reserved(bool reserved) const;
+
     std::unique_ptr<net::http_connection> take_kept(
         base::duration proven_within);
 
     boost::asio::any_io_executor executor_;
     schema::worker worker_;
+    worker_events events_;
     std::uint32_t in_use_{0};
-    // No slot is free for others while one request has the worker to itself.
-    bool reserved_{false};
     std::uint32_t silence_spent_{0};
     base::instant silence_begin_{};
     std::vector<decision::retries::request_digest> running_;
--- a/packages/decision/records/configuration.cpp
+++ b/packages/decision/records/configuration.cpp
@@ -50,24 +50,33 @@
     return nullptr;
 }
 
-loaded_configuration load_configuration(
-    revision at, std::span<const stored_record> rows)
+loaded_configuration apply_changes(
+    configuration before, revision at, std::span<const accepted_change> changes)
 {
-    loaded_configuration out;
+    loaded_configuration out{.value = std::move(before)};
     out.value.revision = at;
-    for (const auto& row : rows)
+    for (const auto& change : changes)
     {
-        auto parsed = schema::parse_record(row.json);
+        const auto known = out.value.changes.find(change.key);
+        if (known != out.value.changes.end() &&
+            known->second.revision >= change.revision)
+        {
+            continue;
+        }
+        out.value.changes.insert_or_assign(change.key, change);
+        auto parsed = schema::parse_record(change.record_json);
         if (!parsed)
         {
-            out.unreadable.push_back({row.key, parsed.error()});
+            out.unreadable.push_back({change.key, parsed.error()});
             continue;
         }
         if (std::visit(retired_of{}, parsed.value().body))
         {
+            out.value.by_key.erase(change.key);
             continue;
         }
-        out.value.by_key.emplace(row.key, std::move(parsed).value());
+        out.value.by_key.insert_or_assign(
+            change.key, std::move(parsed).value());
     }
     return out;
 }
--- a/tests/end_to_end/answers_test.cpp
+++ b/tests/end_to_end/answers_test.cpp
@@ -117,6 +117,8 @@
 BOOST_AUTO_TEST_CASE(a_caller_that_hangs_up_frees_its_slots)
 {
     const answers_cluster cluster{1, 2, false};
+    // A new worker gets all of its slots only after some answers.
+    cluster.drive({.name = "warm", .callers = 8, .requests_each = 50});
     cluster.set_all_faults(R"({"service_ms": 8000})");
     constexpr std::size_t slots = 8;
     std::vector<std::thread> callers;
