--- a/packages/daemon/serving/attempts.cpp
+++ b/packages/daemon/serving/attempts.cpp
@@ -28,6 +28,8 @@
 {
 
 constexpr milliseconds wait_step{2};
+// After so many tries elsewhere a request waits for a slot here.
+constexpr std::size_t most_peers_tried = 2;
 constexpr std::uint32_t fastest_percentile = 5;
 
 asio::awaitable<void> pause(base::duration time)
@@ -110,7 +112,8 @@
     return {
         .service = in.service,
         .priority = in.priority,
-        .may_pass = in.may_pass,
+        .passed = !in.may_pass,
+        .may_pass = avoid.size() < most_peers_tried,
         .deadline = in.deadline,
         .avoid = std::move(avoid)};
 }
@@ -312,11 +315,8 @@
     // something in between.
     auto answer = co_await net::fetch(
         peer.caller_address, std::move(request), in.deadline);
-    if (!answer)
-    {
-        co_return judge_failure(answer.error());
-    }
-    auto result = judge_peer_answer(std::move(answer).value(), attempt);
+    auto result = answer ? judge_peer_answer(std::move(answer).value(), attempt)
+                         : judge_failure(answer.error());
     if (result.next == next_step::place_elsewhere)
     {
         // The view of the peer was old; it ran nothing.
--- a/packages/daemon/serving/idempotent_attempts.cpp
+++ b/packages/daemon/serving/idempotent_attempts.cpp
@@ -194,8 +194,7 @@
     {
         return false;
     }
-    auto where =
-        places_.place(in.service, in.may_pass, so_far.tried, in.priority);
+    auto where = places_.place(request_of(in, so_far.tried));
     if (std::holds_alternative<base::error>(where))
     {
         return false;
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -23,6 +24,7 @@
 #include "decision/drains/drained.hpp"
 #include "decision/membership/member_snapshot.hpp"
 #include "decision/ownership/owned_workers.hpp"
+#include "decision/ownership/zone_ownership.hpp"
 #include "decision/records/configuration.hpp"
 #include "schema/settings.hpp"
 
@@ -51,8 +53,10 @@
 {
     std::string service{};
     schema::priority priority{schema::priority::interactive};
-    // False for a request that a peer passed on: it is admitted at once or
-    // refused, so that this daemon's own callers come first.
+    // A peer passed it on: it is admitted at once or refused, so that this
+    // daemon's own callers come first.
+    bool passed{false};
+    // False once enough peers have refused it.
     bool may_pass{true};
     base::instant deadline{};
     // Workers and peers that are left out.
@@ -80,13 +84,27 @@
     void adopt_members(member_pointer next);
 
     // Takes a newer set of workers that this daemon may dispatch to. Before
-    // the first, rendezvous hashing over the settings' peers decides.
+    // the first there is none.
     void adopt_ownership(decision::ownership::owned_workers next);
 
+    // Version of that set, and the workers that requests run on now, whether
+    // owned still or not.
+    decision::ownership::serving_state ownership_state() const;
+    std::vector<schema::service_room> rooms() const;
+
     // From here on this daemon names itself to no caller.
     void set_leaving() { leaving_ = true; }
     bool leaving() const { return leaving_; }
 
+    // Takes the addresses of the VMs that the platform lists as leaving. The
+    // list lags; a worker that it names gets no new work, an entry that it
+    // names is not named to callers.
+    void adopt_leaving_vms(std::set<std::string, std::less<>> addresses);
+    bool vm_leaves(std::string_view address) const
+    {
+        return leaving_vms_.contains(address);
+    }
+
     const decision::membership::member_snapshot& members() const
     {
         return *members_;
@@ -97,14 +115,20 @@
         return *configuration_;
     }
 
-    // At once: an own worker, else a peer, else a refusal. `may_pass` is
-    // false for a request that a peer passed on already. Workers and peers at
-    // the addresses in `avoid` are left out.
+    const std::shared_ptr<const decision::records::configuration>&
+    in_force_pointer() const
+    {
+        return configuration_;
+    }
+
+    // At once: an own worker, else a peer, else a refusal.
+    placed place(const place_request& request);
+    // `may_pass` is false for a request that a peer passed on already.
+    // Workers and peers at the addresses in `avoid` are left out.
     placed place(
         std::string_view service,
         bool may_pass,
-        std::span<const base::endpoint> avoid = {},
-        schema::priority priority = schema::priority::interactive);
+        std::span<const base::endpoint> avoid = {});
 
     // The same, but waits for an own slot before it refuses for want of room.
     boost::asio::awaitable<placed> place_in_time(place_request request);
@@ -127,6 +151,8 @@
 
     std::optional<std::string_view> owner_of(const schema::worker& one) const;
     bool owns(const schema::worker& one) const;
+    // False while the newest set of owned workers is too old, as after a
+    // pause of this process.
     bool may_dispatch() const;
     void rebuild();
     void rebuild_pools();
@@ -144,9 +170,10 @@
     // Names of all daemons of each zone, this one included.
     std::map<std::string, std::vector<std::string>, std::less<>> zone_members_;
     member_pointer members_;
-    std::optional<decision::ownership::owned_workers> ownership_;
+    decision::ownership::owned_workers ownership_{.may_dispatch = false};
     std::shared_ptr<const decision::records::configuration> configuration_;
     decision::drains::drained drained_;
+    std::set<std::string, std::less<>> leaving_vms_;
     std::shared_ptr<slot_queue> slots_;
     std::shared_ptr<worker_health> health_;
     peer_rooms peers_;
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -51,9 +51,16 @@
            .route = [this](net::http_request in)
            { return serve(std::move(in)); },
            .refuse = serving::front::refuse_unread}},
-      configurations_{context_, [this](configuration_pointer next) {
-                          adopt(std::move(next));
-                      }}
+      configurations_{
+          context_,
+          [this](configuration_pointer next) { adopt(std::move(next)); }},
+      members_{
+          context_,
+          [this](serving::member_pointer next)
+          { places_.adopt_members(std::move(next)); }},
+      ownership_{context_, [this](decision::ownership::owned_workers next) {
+                     places_.adopt_ownership(std::move(next));
+                 }}
 {
 }
 
@@ -94,6 +101,27 @@
     return configurations_.push(std::move(next));
 }
 
+bool serving_duty::offer_members(serving::member_pointer next)
+{
+    return members_.push(std::move(next));
+}
+
+bool serving_duty::offer_ownership(decision::ownership::owned_workers next)
+{
+    return ownership_.push(std::move(next));
+}
+
+void serving_duty::report()
+{
+    if (report_)
+    {
+        report_(
+            {.state = places_.ownership_state(),
+             .configuration = places_.in_force_pointer(),
+             .rooms = places_.rooms()});
+    }
+}
+
 void serving_duty::adopt(configuration_pointer next)
 {
     // Copies can come late or twice: only a higher revision is taken.
@@ -168,6 +196,7 @@
     const auto now = base::monotonic_clock::now();
     counts_.connections.store(server_.connections());
     counts_.running.store(server_.running());
+    report();
     counts_.request_latency.set(latencies_.summary(now));
 
     // A filing's run is no part of its caller's connection.
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -87,6 +87,12 @@
     // Waits until all running daemons have at least this revision.
     bool wait_for_revision(std::uint64_t revision);
 
+    // Waits until every worker has a daemon that dispatches to it.
+    bool wait_for_owners();
+    // Workers that running daemons say they own.
+    std::size_t owned_workers() const;
+    std::size_t owned_workers(const entry_vm& entry) const;
+
     net::exchange_result call(
         const base::endpoint& where,
         const net::http_request& request,
@@ -102,6 +108,8 @@
     void lay_out();
     void write_settings(const entry_vm& entry) const;
     void write_operator_settings(const std::string& name) const;
+    // Keys of both operators, for the client and the daemons.
+    std::filesystem::path keys_file() const;
     base::endpoint address(int zone, int host, std::uint16_t port) const;
 
     struct network_hold;
