--- a/packages/daemon/serving/front.hpp
+++ b/packages/daemon/serving/front.hpp
@@ -45,6 +45,12 @@
     // Filings that run without a caller that waits count too.
     std::size_t running_filings() const { return filings_.running(); }
 
+    // Requests that ended workers here, for the other daemons.
+    std::vector<std::uint64_t> poison_digests() const
+    {
+        return attempts_.poison_digests();
+    }
+
 private:
     bool passed_by_peer(const net::http_request& in) const;
     base::result<job> accept(const net::http_request& in) const;
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -118,7 +118,8 @@
         report_(
             {.state = places_.ownership_state(),
              .configuration = places_.in_force_pointer(),
-             .rooms = places_.rooms()});
+             .rooms = places_.rooms(),
+             .poison_digests = front_.poison_digests()});
     }
 }
 
