--- a/packages/daemon/serving/attempts.cpp
+++ b/packages/daemon/serving/attempts.cpp
@@ -109,11 +109,12 @@
 place_request attempts::request_of(
     const order& in, std::vector<base::endpoint> avoid)
 {
+    const bool may_pass = avoid.size() < most_peers_tried;
     return {
         .service = in.service,
         .priority = in.priority,
         .passed = !in.may_pass,
-        .may_pass = avoid.size() < most_peers_tried,
+        .may_pass = may_pass,
         .deadline = in.deadline,
         .avoid = std::move(avoid)};
 }
@@ -259,7 +260,7 @@
     exchange_options options,
     std::shared_ptr<race_branch> branch)
 {
-    const auto pool = hold.pool();
+    const auto& pool = hold.pool();
     const auto attempt = next_attempt_id();
     net::set_field(request.fields, attempt_field, attempt);
     set_deadline(request, in.deadline);
@@ -350,7 +351,7 @@
 asio::awaitable<attempt_result> attempts::run_reserved(
     const order& in, slot_hold hold, const net::http_request& request)
 {
-    const auto pool = hold.pool();
+    const auto& pool = hold.pool();
     const worker_reservation alone{pool};
     while (pool->in_use() > 1)
     {
--- a/packages/daemon/serving_duty.cpp
+++ b/packages/daemon/serving_duty.cpp
@@ -119,6 +119,7 @@
             {.state = places_.ownership_state(),
              .configuration = places_.in_force_pointer(),
              .rooms = places_.rooms(),
+             .key_prefix = front_.key_prefix(),
              .poison_digests = front_.poison_digests()});
     }
 }
--- a/packages/decision/membership/swim.hpp
+++ b/packages/decision/membership/swim.hpp
@@ -70,8 +70,8 @@
     // incarnation is needed to bring it back.
     void mark_gone(const std::string& name, base::instant now);
 
-    // Tells all of the zone at once what set_self() changed; for a planned
-    // stop only, because its cost grows with the zone.
+    // Tells all of the zone at once what set_self() changed; for rare changes
+    // only, because its cost grows with the zone.
     std::vector<outgoing> announce(base::instant now);
 
     member_snapshot snapshot() const;
--- a/packages/decision/ownership/owned_workers.hpp
+++ b/packages/decision/ownership/owned_workers.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <set>
 
 #include "base/endpoint.hpp"
@@ -11,14 +10,6 @@
 namespace waxwingvalve::decision::ownership
 {
 
-// Slots of a worker that requests of a daemon that is gone may still occupy.
-struct inherited_slots
-{
-    std::uint32_t taken{};
-    // By then the last of those requests is past its deadline.
-    base::instant until{};
-};
-
 // Invariant: no other daemon may dispatch to a worker in `addresses`.
 struct owned_workers
 {
@@ -29,8 +20,6 @@
     // Nothing may be dispatched from this moment on unless a newer set came.
     // A process that was paused finds it in the past.
     base::instant dispatch_until{base::instant::max()};
-    // A subset of `addresses`: these slots count as in use.
-    std::map<base::endpoint, inherited_slots> inherited{};
     // Higher with each change of `addresses`; the reader confirms it.
     std::uint64_t version{};
 };
--- a/packages/decision/ownership/zone_ownership.cpp
+++ b/packages/decision/ownership/zone_ownership.cpp
@@ -98,9 +98,6 @@
     {
         step(address, one, now);
     }
-    std::erase_if(
-        owned_.inherited,
-        [&](const auto& item) { return item.second.until <= now; });
     owned_.may_dispatch = !owned_.addresses.empty();
     owned_.dispatch_until = now + options_.gap_limit;
     return open_claims(now);
@@ -120,7 +117,7 @@
     }
     if (one.state == claim_state::claiming && settled(one))
     {
-        own(address, one, now);
+        own(address, one);
     }
 }
 
@@ -130,7 +127,6 @@
     one.stamp = ++last_stamp_;
     one.began = now;
     one.settled.clear();
-    one.after_proof = false;
     // A new claim is sent at once.
     last_claims_.reset();
 }
@@ -142,23 +138,17 @@
         [&](const auto& item) { return one.settled.contains(item.first); });
 }
 
-void zone_ownership::own(
-    const base::endpoint& address, worker_state& one, base::instant now)
+void zone_ownership::own(const base::endpoint& address, worker_state& one)
 {
     one.state = claim_state::owned;
     owned_.addresses.insert(address);
     ++owned_.version;
-    if (one.after_proof)
-    {
-        owned_.inherited[address] = {one.slots, now + options_.longest_request};
-    }
 }
 
 void zone_ownership::drop(const base::endpoint& address, worker_state& one)
 {
     one.state = claim_state::idle;
     owned_.addresses.erase(address);
-    owned_.inherited.erase(address);
     one.dropped_at = ++owned_.version;
 }
 
@@ -285,10 +275,9 @@
     {
         // A proof from before the claim says nothing of a daemon that
         // started in between.
-        if (one.state == claim_state::claiming && began >= one.began &&
-            one.settled.insert(name).second)
+        if (one.state == claim_state::claiming && began >= one.began)
         {
-            one.after_proof = true;
+            one.settled.insert(name);
         }
     }
 }
@@ -301,22 +290,6 @@
     }
 }
 
-void zone_ownership::on_health(
-    const base::endpoint& worker, std::uint32_t running)
-{
-    const auto found = owned_.inherited.find(worker);
-    if (found == owned_.inherited.end())
-    {
-        return;
-    }
-    // All that runs there bounds what the daemon that is gone left.
-    found->second.taken = std::min(found->second.taken, running);
-    if (found->second.taken == 0)
-    {
-        owned_.inherited.erase(found);
-    }
-}
-
 std::vector<std::string> zone_ownership::awaited() const
 {
     std::vector<std::string> out;
