--- a/packages/daemon/serving/placement.cpp
+++ b/packages/daemon/serving/placement.cpp
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include "base/log.hpp"
 #include "decision/limits/shares.hpp"
 #include "decision/ownership/rendezvous.hpp"
@@ -190,7 +193,21 @@
             }
         },
         .released = [slots = slots_, address = one.address]
-        { slots->release(address); }};
+        { slots->release(address); },
+        .reserved =
+            [slots = slots_, address = one.address](bool reserved)
+        {
+            auto* limit = slots->admission().find_limit(address);
+            if (limit != nullptr)
+            {
+                limit->set_draining(
+                    decision::limits::drain_source::trial, reserved);
+            }
+            if (!reserved)
+            {
+                slots->pump();
+            }
+        }};
     return std::make_shared<worker_pool>(executor_, one, std::move(events));
 }
 
@@ -364,8 +381,8 @@
     {
         return std::move(*peer);
     }
-    const auto code =
-        may_dispatch() ? result_code::no_room : result_code::paused;
+    const bool paused = !may_dispatch() && !ownership_.addresses.empty();
+    const auto code = paused ? result_code::paused : result_code::no_room;
     log_event(
         log_level::info,
         log_channel::routing,
@@ -383,9 +400,45 @@
     return base::error{code, service};
 }
 
+// Nothing runs before the zone was asked; a request need not be refused for
+// that as long as its time lasts.
+asio::awaitable<void> placement::wait_for_permission(base::instant deadline)
+{
+    constexpr std::chrono::milliseconds step{10};
+    constexpr std::chrono::seconds longest_wait{1};
+    const auto give_up =
+        std::min(deadline, base::monotonic_clock::now() + longest_wait);
+    asio::steady_timer timer{executor_};
+    while (!may_dispatch() && base::monotonic_clock::now() < give_up)
+    {
+        timer.expires_after(step);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 asio::awaitable<placed> placement::place_in_time(place_request request)
 {
     auto now = place(request);
+    const auto* refused = std::get_if<base::error>(&now);
+    if (refused != nullptr && refused->code == result_code::paused &&
+        !request.passed)
+    {
+        co_await wait_for_permission(request.deadline);
+        co_return co_await place_or_queue(std::move(request));
+    }
+    co_return co_await queue_after(std::move(now), std::move(request));
+}
+
+asio::awaitable<placed> placement::place_or_queue(place_request request)
+{
+    auto now = place(request);
+    co_return co_await queue_after(std::move(now), std::move(request));
+}
+
+// `now` unless it is a refusal that an own slot in time would spare.
+asio::awaitable<placed> placement::queue_after(
+    placed now, place_request request)
+{
     const auto* refusal = std::get_if<base::error>(&now);
     const bool may_wait = refusal != nullptr && !request.passed &&
                           refusal->code == result_code::no_room &&
--- a/packages/daemon/serving/placement.hpp
+++ b/packages/daemon/serving/placement.hpp
@@ -162,6 +162,10 @@
         std::string_view daemon, std::string_view service) const;
     pool_pointer make_pool(const schema::worker& one) const;
     placed hold(const base::endpoint& worker);
+    boost::asio::awaitable<void> wait_for_permission(base::instant deadline);
+    boost::asio::awaitable<placed> place_or_queue(place_request request);
+    boost::asio::awaitable<placed> queue_after(
+        placed now, place_request request);
     std::optional<peer_target> choose_peer(
         std::string_view service, std::span<const base::endpoint> avoid);
 
--- a/packages/decision/limits/worker_limit.hpp
+++ b/packages/decision/limits/worker_limit.hpp
@@ -29,6 +29,8 @@
     health,
     vm_list,
     record,
+    // One request has the worker to itself.
+    trial,
 };
 
 // Invariant: admitted(now) + inherited(now) <= slots(), whatever was
