--- a/packages/daemon/members_duty.hpp
+++ b/packages/daemon/members_duty.hpp
@@ -53,7 +53,8 @@
     members_duty(
         const schema::daemon_settings& settings,
         figures& counts,
-        receivers deliver);
+        receivers deliver,
+        std::uint64_t incarnation);
     ~members_duty();
     members_duty(const members_duty&) = delete;
     members_duty& operator=(const members_duty&) = delete;
@@ -76,10 +77,11 @@
     void tick();
     void take_members(base::instant now);
     void look_for_proofs(base::instant now);
+    void look_for_proof(const std::string& name, base::instant now);
+    // A connection to this peer ended: its process may have.
+    void on_lost(const base::endpoint& peer);
     boost::asio::awaitable<void> try_connection(std::string name);
     boost::asio::awaitable<void> read_vm_list();
-    boost::asio::awaitable<void> ask_health(base::endpoint worker);
-    void ask_for_inherited();
     void deliver(base::instant now);
     void log_changes();
     void adopt(serving_report report);
@@ -100,10 +102,9 @@
     platform::http_vm_list vm_list_;
     boost::asio::steady_timer timer_;
     duty_link<serving_report> reports_;
-    // Peers and workers that are being asked at this moment.
+    // Peers that are being connected to at this moment.
     std::set<std::string> connecting_;
     std::map<std::string, base::instant> connected_at_;
-    std::set<base::endpoint> asking_;
     std::set<base::endpoint> logged_;
     std::map<std::string, decision::membership::member_state> states_;
     std::uint64_t configured_{0};
--- a/packages/daemon/serving/front.hpp
+++ b/packages/daemon/serving/front.hpp
@@ -43,6 +43,8 @@
     static net::http_response refuse_unread(const base::error& reason);
 
     // Filings that run without a caller that waits count too.
+    // The prefix of the idempotency keys that this daemon remembers now.
+    std::string key_prefix() { return filings_.key_prefix(); }
     std::size_t running_filings() const { return filings_.running(); }
 
 private:
--- a/tests/decision/blocks/block_table_test.cpp
+++ b/tests/decision/blocks/block_table_test.cpp
@@ -69,6 +69,7 @@
         [](const std::vector<std::uint32_t>& seeds, std::uint32_t address)
         {
             std::vector<block> all;
+            all.reserve(seeds.size());
             for (const auto seed : seeds)
             {
                 all.push_back(narrow_block(seed));
@@ -96,6 +97,8 @@
         {
             std::vector<block> all;
             std::vector<block> delta;
+            all.reserve(first.size() + then.size());
+            delta.reserve(then.size());
             for (const auto seed : first)
             {
                 all.push_back(narrow_block(seed));
