--- a/tests/end_to_end/filing_scene.hpp
+++ b/tests/end_to_end/filing_scene.hpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/json/object.hpp>
+
 #include "harness/cluster.hpp"
 #include "history/history.hpp"
 
@@ -37,6 +39,9 @@
 
     // A new key under the prefix that the entry hands out now.
     std::string new_key(const harness::entry_vm& entry);
+    // True when the entry runs requests on workers of its own, which depends
+    // on the addresses that this run was given.
+    bool owns_workers(const harness::entry_vm& entry);
     filing_answer file(
         const harness::entry_vm& entry,
         const std::string& key,
@@ -59,6 +64,9 @@
     }
 
 private:
+    // The row of the entry in the list of entries that it hands out.
+    boost::json::object listed(const harness::entry_vm& entry) const;
+
     std::mutex mutex_;
     std::vector<history::caller_record> records_;
     int last_key_{0};
