Serving: more time than the operation has is cut to it

An operation's name is now owned by the job: it pointed into a configuration that can be replaced while it runs.

--- a/packages/daemon/serving/front.cpp
+++ b/packages/daemon/serving/front.cpp
@@ -114,7 +114,9 @@
             return base::fail(
                 result_code::deadline_invalid, std::string{*text});
         }
-        time_left = *asked;
+        // The operation's own deadline is the most that it may run: whoever
+        // takes a worker over counts on that.
+        time_left = std::min(time_left, *asked);
     }
     work.deadline = base::monotonic_clock::now() + time_left;
     if (!work.operation.idempotent && !net::find_field(in.fields, key_field))
--- a/packages/decision/routing/operations.hpp
+++ b/packages/decision/routing/operations.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <string>
 #include <string_view>
 
 #include "schema/records.hpp"
@@ -11,7 +12,8 @@
 
 struct matched_operation
 {
-    std::string_view name{};
+    // Owned: a request may outlive the configuration that named it.
+    std::string name{};
     bool idempotent{};
     schema::priority priority{};
     std::chrono::milliseconds deadline{};
--- a/tests/end_to_end/answers_test.cpp
+++ b/tests/end_to_end/answers_test.cpp
@@ -114,6 +114,25 @@
     BOOST_TEST(cluster.runs().size() == before);
 }
 
+// An owner that takes a worker over counts on no request running longer.
+BOOST_AUTO_TEST_CASE(more_time_than_the_operation_has_is_cut_to_it)
+{
+    const answers_cluster cluster{1, 2, false};
+    const auto& entry = cluster.first_entry();
+    const auto far = cluster.call(
+        entry,
+        {.method = "GET",
+         .target = "/far",
+         .fields = {
+             {"Waxwing-Service", "lacquer-catalogue"},
+             {"Waxwing-Deadline-Ms", "9000000000000000"}}});
+    BOOST_REQUIRE(far.has_value());
+    BOOST_REQUIRE(far.value().status == 200U);
+    const auto later = cluster.runs();
+    const std::string told{later.back().at("deadline_ms").as_string()};
+    BOOST_TEST(std::stoll(told) <= 2000);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_hangs_up_frees_its_slots)
 {
     const answers_cluster cluster{1, 2, false};
