--- a/tests/end_to_end/answers_test.cpp
+++ b/tests/end_to_end/answers_test.cpp
@@ -106,7 +106,7 @@
     BOOST_TEST(none.code == "2010");
     BOOST_TEST(none.outcome == "not-run");
     cluster.set_all_faults(R"({"service_ms": 60})");
-    cluster.drive({.name = "slow", .callers = 4, .requests_each = 15});
+    cluster.drive({.name = "slow", .callers = 4, .requests_each = 40});
     const auto before = cluster.runs().size();
     const auto short_time = cluster.look_up(entry, "/short", milliseconds{30});
     BOOST_TEST(short_time.code == "2010");
