--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -83,10 +83,13 @@
     asio::io_context signal_context{1};
     operators_duty operators{settings, counts};
     {
-        serving_duty serving{settings, counts, make_incarnation()};
+        const auto incarnation = make_incarnation();
+        serving_duty serving{settings, counts, incarnation};
         records_duty records{settings, counts, [&](configuration_pointer next) {
                                  return serving.offer(std::move(next));
                              }};
+        serving.on_hint([&](configuration_hint heard)
+                        { records.hint(std::move(heard)); });
         members_duty members{
             settings,
             counts,
@@ -95,11 +98,10 @@
              .owned = [&](decision::ownership::owned_workers next)
              { return serving.offer_ownership(std::move(next)); },
              .leaving_vms = [&](std::set<std::string, std::less<>> addresses)
-             { return serving.offer_leaving_vms(std::move(addresses)); }}};
+             { return serving.offer_leaving_vms(std::move(addresses)); }},
+            incarnation};
         serving.report_to([&](serving_report report)
                           { return members.offer(std::move(report)); });
-        serving.on_hint([&](configuration_hint heard)
-                        { records.hint(std::move(heard)); });
         const stop_signals signals{signal_context, serving, members};
 
         if (auto started = operators.start(); !started)
--- a/packages/daemon/members_duty.cpp
+++ b/packages/daemon/members_duty.cpp
@@ -1,6 +1,7 @@
 #include "daemon/members_duty.hpp"
 
 #include <random>
+#include <span>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,10 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include "base/log.hpp"
-#include "net/http_client.hpp"
 
 namespace waxwingvalve::daemon
 {
@@ -28,31 +27,21 @@
 {
 
 constexpr milliseconds tick_period{100};
-constexpr milliseconds members_period{500};
+constexpr milliseconds members_period{200};
 constexpr milliseconds vm_list_period{2000};
 constexpr milliseconds platform_timeout{1000};
 // Between two attempts to connect to a peer that may be gone.
 constexpr milliseconds proof_period{200};
 constexpr milliseconds connect_timeout{1000};
-constexpr milliseconds health_timeout{500};
 constexpr milliseconds hand_over_time{1000};
 // A VM off the list, and silent, for longer than this runs nothing any more.
 constexpr seconds tenure{30};
 constexpr std::chrono::minutes unused_link_time{2};
 // Stamps of one process; the next one's are above them.
-constexpr unsigned stamp_bits = 20;
+constexpr unsigned stamp_bits = 12;
 
-std::uint64_t first_incarnation()
-{
-    // The VM keeps nothing, so the wall clock orders the starts; membership
-    // corrects a clock that went back.
-    const auto since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(since_epoch).count());
-}
-
-schema::member_report own_report(const schema::daemon_settings& settings)
+schema::member_report own_report(
+    const schema::daemon_settings& settings, std::uint64_t incarnation)
 {
     schema::member_report out;
     out.name = settings.name;
@@ -60,7 +49,17 @@
     out.zone = settings.zone;
     out.caller_address = settings.caller_address;
     out.peer_address = settings.peer_address;
-    out.incarnation = first_incarnation();
+    out.incarnation = incarnation;
+    return out;
+}
+
+std::uint64_t owned_slots(std::span<const schema::service_room> rooms)
+{
+    std::uint64_t out = 0;
+    for (const auto& room : rooms)
+    {
+        out += room.slots;
+    }
     return out;
 }
 
@@ -83,14 +82,18 @@
 } // namespace
 
 members_duty::members_duty(
-    const schema::daemon_settings& settings, figures& counts, receivers deliver)
+    const schema::daemon_settings& settings,
+    figures& counts,
+    receivers deliver,
+    std::uint64_t incarnation)
     : context_{1}, settings_{settings}, counts_{counts}, deliver_{std::move(
                                                              deliver)},
-      members_{own_report(settings), {}, std::random_device{}()},
+      members_{own_report(settings, incarnation), {}, std::random_device{}()},
       ownership_{settings.name, members_.self().incarnation << stamp_bits, {}},
       link_{
           context_,
-          [this](std::span<const std::uint8_t> bytes) { receive(bytes); }},
+          [this](std::span<const std::uint8_t> bytes) { receive(bytes); },
+          [this](const base::endpoint& peer) { on_lost(peer); }},
       vm_list_{settings.platform.vm_list, platform_timeout}, timer_{context_},
       reports_{
           context_, [this](serving_report report) { adopt(std::move(report)); }}
@@ -192,7 +195,6 @@
     {
         send(claims);
     }
-    ask_for_inherited();
     link_.close_unused(now - unused_link_time);
     log_changes();
     deliver(now);
@@ -229,13 +231,31 @@
     names.insert(names.end(), awaited.begin(), awaited.end());
     for (const auto& name : names)
     {
-        auto& last = connected_at_[name];
-        if (now - last < proof_period || !connecting_.insert(name).second)
+        look_for_proof(name, now);
+    }
+}
+
+void members_duty::look_for_proof(const std::string& name, base::instant now)
+{
+    auto& last = connected_at_[name];
+    if (now - last < proof_period || !connecting_.insert(name).second)
+    {
+        return;
+    }
+    last = now;
+    asio::co_spawn(context_, try_connection(name), asio::detached);
+}
+
+void members_duty::on_lost(const base::endpoint& peer)
+{
+    for (const auto& one : members_.snapshot().members)
+    {
+        if (one.report.peer_address == peer &&
+            one.report.zone == settings_.zone &&
+            one.state != member_state::dead)
         {
-            continue;
+            look_for_proof(one.report.name, base::monotonic_clock::now());
         }
-        last = now;
-        asio::co_spawn(context_, try_connection(name), asio::detached);
     }
 }
 
@@ -313,7 +333,7 @@
                 continue;
             }
             live.insert(vm.name);
-            schema::member_report seed = own_report(settings_);
+            schema::member_report seed = own_report(settings_, 0);
             seed.name = vm.name;
             seed.caller_address.address = vm.address;
             seed.peer_address.address = vm.address;
@@ -330,45 +350,6 @@
     }
 }
 
-void members_duty::ask_for_inherited()
-{
-    for (const auto& [worker, slots] : ownership_.owned().inherited)
-    {
-        if (asking_.insert(worker).second)
-        {
-            asio::co_spawn(context_, ask_health(worker), asio::detached);
-        }
-    }
-}
-
-asio::awaitable<void> members_duty::ask_health(base::endpoint worker)
-{
-    // Named, because GCC 12 destroys such a temporary twice in a coroutine.
-    net::http_request request{.method = "GET", .target = "/health"};
-    const auto answer = co_await net::fetch(
-        worker,
-        std::move(request),
-        base::monotonic_clock::now() + health_timeout);
-    if (answer)
-    {
-        boost::system::error_code failure;
-        const auto parsed = boost::json::parse(answer.value().body, failure);
-        const auto* object = failure ? nullptr : parsed.if_object();
-        const auto* running =
-            object == nullptr ? nullptr : object->if_contains("running");
-        if (running != nullptr && running->is_int64() &&
-            running->get_int64() >= 0)
-        {
-            ownership_.on_health(
-                worker, static_cast<std::uint32_t>(running->get_int64()));
-        }
-    }
-    asio::steady_timer timer{context_};
-    timer.expires_after(tick_period);
-    co_await timer.async_wait(asio::use_awaitable);
-    asking_.erase(worker);
-}
-
 void members_duty::deliver(base::instant now)
 {
     deliver_.owned(ownership_.owned());
@@ -396,8 +377,6 @@
             base::to_string(worker),
             "chosen",
             why,
-            "inherited",
-            ownership_.owned().inherited.contains(worker),
             "version",
             ownership_.owned().version);
     };
@@ -445,6 +424,8 @@
         take_workers(*report.configuration);
     }
     auto self = members_.self();
+    // Rare, and worth telling the zone at once: where requests can go moved.
+    const bool moved = owned_slots(self.rooms) != owned_slots(report.rooms);
     self.revision = configured_;
     self.rooms = std::move(report.rooms);
     self.key_prefix = std::move(report.key_prefix);
@@ -452,6 +433,10 @@
     self.leaving = leaving_;
     members_.set_self(std::move(self));
     ownership_.on_serving(std::move(report.state));
+    if (moved)
+    {
+        send(members_.announce(base::monotonic_clock::now()));
+    }
 }
 
 void members_duty::take_workers(const decision::records::configuration& next)
