Daemon: a pool no longer tells free slots that nobody asks for

Admission counts a worker's slots since it was joined; worker_pool::free_slots had no caller left. The whole tree builds; placement_test, base_test and schema_test pass.

--- a/packages/daemon/serving/worker_pool.hpp
+++ b/packages/daemon/serving/worker_pool.hpp
@@ -88,7 +88,6 @@
     const base::endpoint& address() const { return worker_.address; }
     std::uint32_t slots() const { return worker_.slots; }
     std::uint32_t in_use() const { return in_use_; }
-    std::uint32_t free_slots() const { return worker_.slots - in_use_; }
     void set_slots(std::uint32_t slots) { worker_.slots = slots; }
 
     // Sends over a kept connection or a new one, as the options say.
