Steering: a region's requests are divided by capacity and demand

Cause: in the grown fleets one region has a tenth of the workers and a third of the callers.

Change: steering/region_plan divides each region's requests among regions by slots and by the demand that heartbeats tell, slowly; within a region all daemons rank all workers alike. Heartbeats stay mostly within a zone (50 of 65 MB between zones were heartbeats).

Conclusion: one warm worker for an object in a region is worth more than the bytes between zones that it costs.

--- a/packages/decision/steering/cold_pace.cpp
+++ b/packages/decision/steering/cold_pace.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-// Daemons that are assumed to live beside one that knows of none.
-constexpr double unknown_daemons = 16.0;
-
 bool is_sender(
     std::string_view worker_id,
     std::string_view self,
@@ -32,10 +29,11 @@
     double requests_per_s,
     std::string_view self,
     std::span<const std::string> daemons,
+    bool settled,
     base::instant now)
 {
     const bool alone = daemons.size() <= 1;
-    if (!alone && !is_sender(worker_id, self, daemons))
+    if (!settled || (!alone && !is_sender(worker_id, self, daemons)))
     {
         return false;
     }
--- a/packages/decision/steering/fleet_members.cpp
+++ b/packages/decision/steering/fleet_members.cpp
@@ -33,27 +33,49 @@
                 {key,
                  one.member.incarnation,
                  one.member.heartbeat,
+                 one.member.requests_per_s,
                  one.member.leaving});
         }
     }
     return out;
 }
 
+// Some daemons of the own zone, and few enough of other zones.
+std::vector<base::endpoint> fleet_members::receivers(base::instant now)
+{
+    std::vector<base::endpoint> near;
+    std::vector<base::endpoint> far;
+    double in_zone = 1;
+    for (const auto& [key, one] : others_)
+    {
+        const bool same_zone = one.member.zone == self_.zone;
+        (same_zone ? near : far).push_back(one.member.peer_address);
+        in_zone += same_zone && is_live(one, now) ? 1 : 0;
+    }
+    std::ranges::shuffle(near, random_);
+    std::ranges::shuffle(far, random_);
+    near.resize(std::min(near.size(), near_fanout));
+    std::uniform_real_distribution<double> chance{0.0, 1.0};
+    const auto far_count =
+        static_cast<std::size_t>(far_messages / in_zone + chance(random_));
+    far.resize(std::min(far.size(), far_count));
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
 std::vector<fleet_members::message> fleet_members::next_round(base::instant now)
 {
+    if (started_at_ == base::instant{})
+    {
+        started_at_ = now;
+    }
     ++self_.heartbeat;
     std::erase_if(
         others_,
         [&](const auto& one)
         { return now - one.second.advanced_at > forgotten_after; });
 
-    std::vector<base::endpoint> to;
-    for (const auto& [key, one] : others_)
-    {
-        to.push_back(one.member.peer_address);
-    }
-    std::ranges::shuffle(to, random_);
-    to.resize(std::min(to.size(), fanout));
+    auto to = receivers(now);
     const bool tell_seed = self_.heartbeat % seed_rounds == 1 || to.empty();
     if (!seeds_.empty() && tell_seed)
     {
@@ -139,6 +161,7 @@
         if (news.incarnation == count.incarnation)
         {
             news.heartbeat = count.heartbeat;
+            news.requests_per_s = count.requests_per_s;
             news.leaving = news.leaving || count.leaving;
             take_member(news, now, out);
         }
--- a/packages/decision/steering/fleet_members.hpp
+++ b/packages/decision/steering/fleet_members.hpp
@@ -32,8 +32,14 @@
     // A member that did not count up for this long is not live.
     static constexpr base::duration silence_bound{std::chrono::seconds{4}};
     static constexpr base::duration forgotten_after{std::chrono::minutes{2}};
-    // Daemons that get this daemon's heartbeats each round.
-    static constexpr std::size_t fanout = 3;
+    // Daemons of the own zone that get this daemon's heartbeats each round.
+    static constexpr std::size_t near_fanout = 2;
+    // Messages that leave a zone each round, from all its daemons together.
+    // Bytes between zones are dear; a few carry what a whole zone knows.
+    static constexpr double far_messages = 3.0;
+    // Until then a daemon may not have heard of all others.
+    static constexpr base::duration settle_time{
+        std::chrono::milliseconds{3'000}};
     // Daemons described in one answer, so that it fits one datagram.
     static constexpr std::size_t most_described = 8;
     // Rounds after which a seed is told too, which connects parts of a fleet
@@ -49,6 +55,7 @@
     void add_seed(base::endpoint where) { seeds_.push_back(std::move(where)); }
 
     void set_leaving() { self_.leaving = true; }
+    void set_requests_per_s(std::uint16_t rate) { self_.requests_per_s = rate; }
 
     struct message
     {
@@ -71,6 +78,12 @@
     // Live ones, this daemon included, leaving ones too.
     std::vector<fleet_member> live(base::instant now) const;
     std::vector<std::string> live_names(base::instant now) const;
+    // The list of live daemons had time to fill.
+    bool settled(base::instant now) const
+    {
+        return started_at_ != base::instant{} &&
+               now - started_at_ >= settle_time;
+    }
     // The most daemons that were live at once.
     std::size_t most_seen() const { return most_seen_; }
 
@@ -87,6 +100,7 @@
     void take_counts(const fleet_beat& beat, base::instant now, reception& out);
     void describe(const fleet_beat& beat, reception& out) const;
     fleet_beat make_beat(base::instant now) const;
+    std::vector<base::endpoint> receivers(base::instant now);
 
     fleet_member self_;
     std::mt19937_64 random_;
@@ -94,6 +108,8 @@
     std::map<std::uint64_t, entry> others_;
     std::vector<base::endpoint> seeds_;
     std::size_t most_seen_{1};
+    // First round.
+    base::instant started_at_{};
 };
 
 } // namespace waxwingvalve::decision::steering
--- a/packages/decision/steering/worker_choice.hpp
+++ b/packages/decision/steering/worker_choice.hpp
@@ -5,8 +5,8 @@
 // it. Rendezvous hashing (Thaler and Ravishankar, 1998) ranks the workers for
 // each object the same way on every daemon; a bound on the load (after
 // Mirrokni, Thorup and Zadimoghaddam, 2016) moves what does not fit to the
-// next one in rank, which therefore stays warm for it as well. Distance is a
-// penalty on the rank, not a wall.
+// next one in rank, which therefore stays warm for it as well. Which region's
+// workers are asked first is the business of region_plan.
 #pragma once
 
 #include <cstdint>
@@ -18,13 +18,6 @@
 namespace waxwingvalve::decision::steering
 {
 
-enum class nearness : std::uint8_t
-{
-    own_zone,
-    own_region,
-    other_region,
-};
-
 struct choice_policy
 {
     // A worker is full at this multiple of its slots.
@@ -37,9 +30,6 @@
     // A worker further down takes it only below this multiple of its slots:
     // a cold run there costs several warm ones, which only idle slots pay.
     double idle_below{0.7};
-    // Penalties on the rank, in parts of the hash's range.
-    double other_zone_penalty{0.04};
-    double other_region_penalty{0.2};
 };
 
 struct worker_candidate
@@ -47,12 +37,8 @@
     // Index in the caller's own list.
     std::size_t index{};
     std::string_view id{};
-    nearness where{};
     double load{};
     std::uint32_t slots{1};
-    // True for a worker that takes a request only when its limit allows it:
-    // a cold one, or one that is tried again after failures.
-    bool limited{};
 };
 
 struct ranked_worker
@@ -63,21 +49,15 @@
     double fullness{};
 };
 
-struct ranking
-{
-    // Index of the worker that the object belongs to, full or not.
-    std::size_t first{};
-    // Those with room, in the order in which they should be tried.
-    std::vector<ranked_worker> open{};
-};
-
-// `candidates` must not be empty. `urgent` requests find room where others do
-// not.
-ranking rank_workers(
+// The candidates with room, in the order in which they should be tried.
+// `better` workers were asked before these. `urgent` requests find room where
+// others do not.
+std::vector<ranked_worker> rank_workers(
     std::string_view object,
     std::span<const worker_candidate> candidates,
     const choice_policy& policy,
-    bool urgent);
+    bool urgent,
+    std::size_t better = 0);
 
 // The position of a worker for an object, in [0, 1); lower comes first. All
 // daemons compute the same.
--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -120,12 +120,13 @@
     const bool restarted = before.started_at_ms != entry.started_at_ms ||
                            before.address != entry.address;
     const bool other_service = before.service != entry.service;
-    if (other_service)
+    const bool moved = other_service || before.zone != entry.zone;
+    if (moved)
     {
         unindex(known);
     }
     known->update(std::move(entry), now);
-    if (other_service)
+    if (moved)
     {
         index(known);
     }
@@ -155,23 +156,28 @@
     return found == by_id_.end() ? nullptr : found->second;
 }
 
-const std::vector<worker_table::worker_ptr>& worker_table::of_service(
-    const std::string& service) const
+const worker_table::zone_workers& worker_table::of_service(
+    std::string_view service) const
 {
-    static const std::vector<worker_ptr> none;
+    static const zone_workers none;
     const auto found = by_service_.find(service);
     return found == by_service_.end() ? none : found->second;
 }
 
 void worker_table::index(const worker_ptr& one)
 {
-    by_service_[one->entry().service].push_back(one);
+    by_service_[one->entry().service][one->entry().zone].push_back(one);
 }
 
 void worker_table::unindex(const worker_ptr& one)
 {
-    auto& list = by_service_[one->entry().service];
-    std::erase(list, one);
+    auto& zones = by_service_[one->entry().service];
+    const auto zone = zones.find(one->entry().zone);
+    std::erase(zone->second, one);
+    if (zone->second.empty())
+    {
+        zones.erase(zone);
+    }
 }
 
 } // namespace waxwingvalve::decision::steering
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.hpp"
@@ -132,13 +133,15 @@
 {
 public:
     using worker_ptr = std::shared_ptr<worker>;
+    using zone_workers =
+        std::map<std::string, std::vector<worker_ptr>, std::less<>>;
 
     entry_change put(worker_entry entry, base::instant now);
     // False when no worker of this id was known.
     bool remove(const std::string& id);
     worker_ptr find(const std::string& id) const;
-    // The workers of one service; empty for an unknown one.
-    const std::vector<worker_ptr>& of_service(const std::string& service) const;
+    // The workers of one service by their zone; empty for an unknown one.
+    const zone_workers& of_service(std::string_view service) const;
     const std::map<std::string, worker_ptr>& all() const { return by_id_; }
 
 private:
@@ -146,7 +149,7 @@
     void unindex(const worker_ptr& one);
 
     std::map<std::string, worker_ptr> by_id_;
-    std::map<std::string, std::vector<worker_ptr>> by_service_;
+    std::map<std::string, zone_workers, std::less<>> by_service_;
 };
 
 } // namespace waxwingvalve::decision::steering
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -23,6 +23,7 @@
 #include "decision/steering/fleet_retry_budget.hpp"
 #include "decision/steering/fullness_limit.hpp"
 #include "decision/steering/region_pace.hpp"
+#include "decision/steering/region_plan.hpp"
 #include "decision/steering/split_picker.hpp"
 #include "decision/steering/worker_choice.hpp"
 #include "decision/steering/worker_table.hpp"
@@ -100,7 +101,8 @@
 
     std::string region_of(const std::string& zone) const;
 
-    // Refreshes what is derived from the list of live daemons.
+    // Refreshes what is derived from the list of live daemons, and tells them
+    // how many requests come here.
     void refresh_members(base::instant now);
 
     steering::fleet_members members;
@@ -114,10 +116,33 @@
         bool accept_failing,
         base::instant now) const;
     std::vector<steering::worker_candidate> candidates(
-        const std::vector<worker_ptr>& workers,
+        std::span<const worker_ptr> workers,
         const placement_request& request,
         bool accept_failing,
         base::instant now) const;
+    // The first worker with room, region by region, and whether any might have
+    // taken the request.
+    struct placement
+    {
+        worker_ptr chosen{};
+        bool any_candidate{false};
+    };
+    placement place_among(
+        const placement_request& request,
+        bool accept_failing,
+        base::instant now);
+    bool home_allows(
+        const steering::route& route, std::string_view region) const;
+    bool take(
+        steering::worker& one,
+        const placement_request& request,
+        std::string_view region,
+        base::instant now);
+    void measure_requests(base::instant now);
+    std::vector<worker_ptr> workers_in(
+        std::string_view service, std::string_view region) const;
+    std::vector<steering::region_supply> supplies(
+        std::string_view service, base::instant now) const;
     bool take_limited(
         steering::worker& one,
         const placement_request& request,
@@ -138,7 +163,12 @@
     steering::region_pace region_pace_;
     std::map<std::string, steering::fleet_retry_budget> budgets_;
     std::map<std::string, steering::fullness_limit> limits_;
+    std::map<std::string, steering::region_plan, std::less<>> plans_;
     std::vector<std::string> live_names_;
+    // Requests of callers since the rate was measured.
+    std::uint32_t requests_{0};
+    double requests_per_s_{0};
+    base::instant measured_at_{};
 };
 
 } // namespace waxwingvalve::front
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -591,6 +591,8 @@
         route_ ? route_->name : std::string{},
         "service",
         service_,
+        "object",
+        object_,
         "worker",
         tried_.empty() ? std::string{} : tried_.back(),
         "sends",
--- a/packages/schema/fleet.cpp
+++ b/packages/schema/fleet.cpp
@@ -19,6 +19,7 @@
     out->name = in.name;
     out->incarnation = in.incarnation;
     out->heartbeat = in.heartbeat;
+    out->requests_per_s = in.requests_per_s;
     out->caller_address = base::to_string(in.caller_address);
     out->peer_address = base::to_string(in.peer_address);
     out->control_address = base::to_string(in.control_address);
@@ -41,6 +42,7 @@
         .name = in.name,
         .incarnation = in.incarnation,
         .heartbeat = in.heartbeat,
+        .requests_per_s = in.requests_per_s,
         .caller_address = caller.value(),
         .peer_address = peer.value(),
         .control_address = control.value(),
@@ -60,7 +62,11 @@
     for (const auto& one : beat.counts)
     {
         out.counts.emplace_back(
-            one.key, one.incarnation, one.heartbeat, one.leaving);
+            one.key,
+            one.incarnation,
+            one.heartbeat,
+            one.requests_per_s,
+            one.leaving);
     }
     for (const auto& one : beat.crashes)
     {
@@ -101,7 +107,11 @@
     for (const auto& one : in.counts)
     {
         out.counts.push_back(
-            {one.key(), one.incarnation(), one.heartbeat(), one.leaving()});
+            {one.key(),
+             one.incarnation(),
+             one.heartbeat(),
+             one.requests_per_s(),
+             one.leaving()});
     }
     for (const auto& one : in.crashes)
     {
--- a/packages/schema/fleet.hpp
+++ b/packages/schema/fleet.hpp
@@ -12,7 +12,7 @@
 namespace waxwingvalve::schema
 {
 
-inline constexpr std::uint32_t fleet_schema_version = 1;
+inline constexpr std::uint32_t fleet_schema_version = 2;
 
 struct fleet_member
 {
@@ -20,6 +20,8 @@
     // A later start of the same name has a higher one.
     std::uint64_t incarnation{};
     std::uint32_t heartbeat{};
+    // Requests that its callers send, of lately.
+    std::uint16_t requests_per_s{};
     base::endpoint caller_address{};
     base::endpoint peer_address{};
     // Where other daemons read what this one knows of the store.
@@ -37,6 +39,7 @@
     std::uint64_t key{};
     std::uint64_t incarnation{};
     std::uint32_t heartbeat{};
+    std::uint16_t requests_per_s{};
     bool leaving{};
 };
 
--- a/tests/decision/steering/fleet_members_test.cpp
+++ b/tests/decision/steering/fleet_members_test.cpp
@@ -80,6 +80,8 @@
             {
                 continue;
             }
+            between_zones +=
+                daemons[i].self().zone != message.beat.sender.zone ? 1 : 0;
             for (const auto& reply :
                  daemons[i].receive(message.beat, now).replies)
             {
@@ -102,6 +104,7 @@
 
     std::vector<fleet_members> daemons;
     std::vector<std::size_t> down;
+    int between_zones{0};
     instant now{1h};
 };
 
@@ -146,6 +149,39 @@
     }
 }
 
+// Pattern: nine zones of eight daemons. Bytes between zones are dear, so few
+// messages leave a zone; still nobody who lives is taken for gone, and one
+// that is gone is not live after 7 s.
+BOOST_AUTO_TEST_CASE(few_messages_between_zones_keep_a_large_fleet_known)
+{
+    fleet all{72};
+    for (std::size_t i = 0; i < 72; ++i)
+    {
+        auto self = member(static_cast<int>(i));
+        self.zone = "zone-" + std::to_string(i / 8);
+        all.daemons[i] = fleet_members{self, i + 1};
+        all.daemons[i].add_seed(address_of(0));
+        all.daemons[i].add_seed(address_of(30));
+    }
+    all.run(8s);
+    all.between_zones = 0;
+    for (int step = 0; step < 60; ++step)
+    {
+        all.run(500ms);
+        for (const auto& one : all.daemons)
+        {
+            BOOST_TEST(one.live_names(all.now).size() == 72U);
+        }
+    }
+    BOOST_TEST(all.between_zones < 60 * 9 * 6);
+    all.down.push_back(41);
+    all.run(7s);
+    for (std::size_t i = 0; i < all.daemons.size(); ++i)
+    {
+        BOOST_TEST((i == 41 || !all.knows_live(i, 41)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_again_is_live_again)
 {
     fleet all{5};
