Steering: requests spill only while workers have slots free

By the logs an object's requests ran on 5.2 workers in 4 s (38% at the first of them): daemons of a large fleet see few answers of a worker, take it for idle and send it objects that it does not know; those runs take three times as long.

Change: spill_gate closes the way to workers that do not know the object while the workers that answer hold more than their slots. A timeout in a queue no longer speaks against the worker.

Conclusion: the runs without the object in memory were the overload.

--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -68,6 +68,14 @@
     }
 }
 
+void worker::timed_out(base::instant now)
+{
+    if (on_trial_ || load(now) <= entry_.slots)
+    {
+        answered(true, now);
+    }
+}
+
 void worker::doubt(worker_doubt reason, base::instant now)
 {
     trial_runs_ = false;
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -91,6 +91,10 @@
     void report(const load_report& load, base::instant now);
     void set_cold_for(std::chrono::milliseconds left, base::instant now);
     void answered(bool failed, base::instant now);
+    // A request had no answer within its time. Speaks against the worker only
+    // when it had slots free: in a queue requests time out at sound workers,
+    // and taking those out would move their load to others.
+    void timed_out(base::instant now);
     void doubt(worker_doubt reason, base::instant now);
 
     // Own requests and, as far as a report is new, those of other daemons.
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -202,6 +202,12 @@
     limits_[service].note(took, target);
 }
 
+void fleet_view::note_load(
+    const std::string& service, const steering::load_report& load)
+{
+    spill_gates_[service].note(load);
+}
+
 bool fleet_view::spend_retry(const std::string& service, base::instant now)
 {
     return budgets_[service].spend(terms_.retry_budget, daemons(), now);
@@ -329,7 +335,12 @@
 {
     placement out;
     auto policy = terms_.choice;
-    policy.full_at = limits_[std::string{request.service}].value();
+    const std::string service{request.service};
+    policy.full_at = limits_[service].value();
+    if (!spill_gates_[service].open())
+    {
+        policy.idle_below = 0;
+    }
     const bool first_rank = urgent(*request.route);
     std::size_t asked = 0;
     const auto plan = plans_.find(request.service);
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -24,6 +24,7 @@
 #include "decision/steering/fullness_limit.hpp"
 #include "decision/steering/region_pace.hpp"
 #include "decision/steering/region_plan.hpp"
+#include "decision/steering/spill_gate.hpp"
 #include "decision/steering/split_picker.hpp"
 #include "decision/steering/worker_choice.hpp"
 #include "decision/steering/worker_table.hpp"
@@ -96,6 +97,10 @@
     void note_answer(
         const std::string& service, base::duration took, base::duration target);
 
+    // A worker of the service reported its load with an answer.
+    void note_load(
+        const std::string& service, const steering::load_report& load);
+
     // True when a further send may be made to the service; it is counted.
     bool spend_retry(const std::string& service, base::instant now);
 
@@ -163,6 +168,7 @@
     steering::region_pace region_pace_;
     std::map<std::string, steering::fleet_retry_budget> budgets_;
     std::map<std::string, steering::fullness_limit> limits_;
+    std::map<std::string, steering::spill_gate> spill_gates_;
     std::map<std::string, steering::region_plan, std::less<>> plans_;
     std::vector<std::string> live_names_;
     // Requests of callers since the rate was measured.
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -313,6 +313,7 @@
             parse_load(value_of(answer.fields, context_.fields.worker_load)))
     {
         worker.report(*load, now);
+        context_.view.note_load(service_, *load);
     }
     if (const auto cold =
             to_number(value_of(answer.fields, context_.fields.cold_for)))
@@ -503,7 +504,7 @@
         sent_ = sent_state::unknown;
         if (worker_)
         {
-            worker_->answered(true, base::monotonic_clock::now());
+            worker_->timed_out(base::monotonic_clock::now());
             context_.view.note_answer(
                 service_, route_->timeout, route_->target_latency);
         }
--- a/tests/decision/steering/warm_worker_model.hpp
+++ b/tests/decision/steering/warm_worker_model.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "decision/steering/fullness_limit.hpp"
+#include "decision/steering/spill_gate.hpp"
 #include "decision/steering/worker_choice.hpp"
 #include "decision/steering/worker_table.hpp"
 
@@ -115,6 +116,7 @@
         }
         views_.push_back(std::move(view));
         limits_.emplace_back();
+        gates_.emplace_back();
     }
 
     second_counts& counts_of(const model_request& request)
@@ -155,6 +157,10 @@
         const auto name = "object-" + std::to_string(request.object);
         auto policy = policy_;
         policy.full_at = limits_[request.daemon].value();
+        if (!gates_[request.daemon].open())
+        {
+            policy.idle_below = 0;
+        }
         const auto ranked = rank_workers(name, candidates, policy, false);
         if (ranked.empty())
         {
@@ -233,6 +239,10 @@
                 auto& seen = *views_[one.daemon][i];
                 seen.request_ended();
                 report(at, seen);
+                gates_[one.daemon].note(
+                    {static_cast<std::uint32_t>(at.running.size()),
+                     static_cast<std::uint32_t>(at.waiting.size()),
+                     plan_.slots});
                 const bool in_time = now_ - one.arrived <= plan_.target;
                 limits_[one.daemon].note(now_ - one.arrived, plan_.target);
                 counts_of(one).in_time += in_time ? 1 : 0;
@@ -246,6 +256,7 @@
     std::vector<model_worker> workers_;
     std::vector<std::vector<std::unique_ptr<worker>>> views_;
     std::vector<fullness_limit> limits_;
+    std::vector<spill_gate> gates_;
     std::vector<second_counts> counts_;
     instant now_{};
 };
