Steering: doubts are judged against peers; lost capacity moves requests at once

Change: a worker is doubted only when it fails 1.6 times as often as all of its service; the spill gate is kept for each region; the division of a region's requests follows lost or new slots (a tenth or more) at once, and the pace is not applied for 4 s after that. New log lines: worker_doubted, and the reason in request_ended.

Conclusion: the pace protects regions from swings of demand; it is no answer to workers that are gone.

--- a/packages/decision/steering/region_plan.cpp
+++ b/packages/decision/steering/region_plan.cpp
@@ -130,6 +130,27 @@
     return out;
 }
 
+bool region_plan::capacity_changed(
+    std::span<const region_supply> supplies) const
+{
+    for (std::size_t i = 0; i < supplies.size(); ++i)
+    {
+        const bool same_region =
+            i < adopted_.size() && adopted_[i].region == supplies[i].region;
+        if (!same_region)
+        {
+            return true;
+        }
+        const double before = adopted_[i].slots;
+        const double change = std::abs(supplies[i].slots - before);
+        if (change > policy_.capacity_change * before)
+        {
+            return true;
+        }
+    }
+    return adopted_.size() != supplies.size();
+}
+
 void region_plan::follow(
     std::span<const region_supply> supplies,
     std::string_view own_region,
@@ -138,11 +159,11 @@
     auto target = divide_demand(supplies, own_region, policy_);
     const std::chrono::duration<double> passed{now - changed_at_};
     changed_at_ = now;
-    const bool same_regions = std::ranges::equal(
-        shares_, target, {}, &planned_share::region, &planned_share::region);
-    if (!same_regions)
+    if (shares_.size() != target.size() || capacity_changed(supplies))
     {
         shares_ = std::move(target);
+        adopted_.assign(supplies.begin(), supplies.end());
+        adopted_at_ = now;
         return;
     }
     const double far = difference(shares_, target);
--- a/packages/decision/steering/region_plan.hpp
+++ b/packages/decision/steering/region_plan.hpp
@@ -4,8 +4,9 @@
 // A region keeps its own requests as far as its workers carry them; the rest
 // goes to where workers are left over. Demand is told by the daemons'
 // heartbeats, capacity by discovery, so every daemon of a region computes
-// nearly the same division without asking anyone. It changes slowly, so that
-// the shares of regions do not jump.
+// nearly the same division without asking anyone. With demand it changes
+// slowly, so that the shares of regions do not jump; workers that are gone
+// cannot be waited for, so with capacity it changes at once.
 //
 // The division does not look at zones: callers of all zones of a region ask
 // for the same objects, and an object that has one worker in the region is in
@@ -45,6 +46,9 @@
     double headroom{1.25};
     // Most of the requests that may change their region in a second.
     double change_per_s{0.04};
+    // Part of a region's slots that must come or go for the division to change
+    // at once.
+    double capacity_change{0.1};
     // Share of a region that the division gives nothing to. It is the way out
     // when all others are gone.
     double least_share{0.002};
@@ -70,6 +74,8 @@
         base::instant now);
 
     const std::vector<planned_share>& shares() const { return shares_; }
+    // When the division last changed at once.
+    base::instant adopted_at() const { return adopted_at_; }
 
     // The regions in the order in which an object's requests try them. An
     // object keeps its order as long as the shares do; a change of the shares
@@ -78,8 +84,13 @@
     std::vector<std::string_view> order(std::string_view object) const;
 
 private:
+    bool capacity_changed(std::span<const region_supply> supplies) const;
+
     region_plan_policy policy_;
     std::vector<planned_share> shares_;
+    // Supplies at the time when the division last changed at once.
+    std::vector<region_supply> adopted_;
+    base::instant adopted_at_{};
     base::instant changed_at_{};
 };
 
--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -51,7 +51,7 @@
     cold_until_ = now + left;
 }
 
-void worker::answered(bool failed, base::instant now)
+void worker::answered(bool failed, double peers_failing, base::instant now)
 {
     failure_share_ += failure_weight * ((failed ? 1.0 : 0.0) - failure_share_);
     trial_runs_ = false;
@@ -62,17 +62,19 @@
         doubts_in_a_row_ = 0;
         return;
     }
-    if (failure_share_ >= failing_share || on_trial_)
+    const double bound =
+        std::max(failing_share, failing_beyond_peers * peers_failing);
+    if (failure_share_ >= bound || on_trial_)
     {
         doubt(worker_doubt::failing, now);
     }
 }
 
-void worker::timed_out(base::instant now)
+void worker::timed_out(double peers_failing, base::instant now)
 {
     if (on_trial_ || load(now) <= entry_.slots)
     {
-        answered(true, now);
+        answered(true, peers_failing, now);
     }
 }
 
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -55,8 +55,6 @@
     unreachable,
     // Its answers are failures far more often than those of its peers.
     failing,
-    // It held requests without any answer.
-    silent,
 };
 
 class worker
@@ -68,8 +66,11 @@
     static constexpr base::duration longest_pause{std::chrono::seconds{8}};
     // Weight of the newest answer in the share of failures.
     static constexpr double failure_weight = 0.15;
-    // From this share of failures on a worker is doubted.
+    // From this share of failures on a worker is doubted, if it is also this
+    // many times that of all workers of the service: where all fail alike,
+    // pauses would only take workers away.
     static constexpr double failing_share = 0.5;
+    static constexpr double failing_beyond_peers = 1.6;
     // Requests of other daemons are taken to fall to 1/e within this time of
     // the last report. Slowly, because every daemon that forgets a full
     // worker sends to it at the same time.
@@ -90,11 +91,12 @@
 
     void report(const load_report& load, base::instant now);
     void set_cold_for(std::chrono::milliseconds left, base::instant now);
-    void answered(bool failed, base::instant now);
+    // `peers_failing` is the share of failures of all workers of the service.
+    void answered(bool failed, double peers_failing, base::instant now);
     // A request had no answer within its time. Speaks against the worker only
     // when it had slots free: in a queue requests time out at sound workers,
     // and taking those out would move their load to others.
-    void timed_out(base::instant now);
+    void timed_out(double peers_failing, base::instant now);
     void doubt(worker_doubt reason, base::instant now);
 
     // Own requests and, as far as a report is new, those of other daemons.
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -5,6 +5,10 @@
 #include <limits>
 #include <utility>
 
+#include <fmt/format.h>
+
+#include "base/log.hpp"
+
 namespace waxwingvalve::front
 {
 
@@ -20,6 +24,53 @@
 // Requests a second that every zone is taken to have beside those that are
 // told, so that a fleet without callers has a division too.
 constexpr double least_demand = 1.0;
+// For this long after workers came or went the shares of regions may change
+// freely: the pace would refuse requests that have room elsewhere.
+constexpr base::duration capacity_change_time{std::chrono::seconds{4}};
+// Weight of the newest answer in the share of failures of a service.
+constexpr double failing_weight = 0.02;
+
+std::string_view name_of(worker_doubt doubt)
+{
+    switch (doubt)
+    {
+    case worker_doubt::none:
+        return "none";
+    case worker_doubt::unreachable:
+        return "unreachable";
+    case worker_doubt::failing:
+        return "failing";
+    }
+    return "unknown";
+}
+
+// A worker that was not doubted and is now gets no requests for a while.
+void log_doubt(
+    const steering::worker& one,
+    worker_doubt before,
+    double peers_failing,
+    base::instant now)
+{
+    const auto doubt = one.doubted(now);
+    if (before != worker_doubt::none || doubt == worker_doubt::none)
+    {
+        return;
+    }
+    base::log_event(
+        base::log_level::info,
+        base::log_channel::routing,
+        "worker_doubted",
+        "worker",
+        one.entry().id,
+        "reason",
+        name_of(doubt),
+        "failing",
+        one.failure_share(),
+        "peers_failing",
+        peers_failing,
+        "in_flight",
+        one.in_flight());
+}
 
 } // namespace
 
@@ -203,9 +254,45 @@
 }
 
 void fleet_view::note_load(
-    const std::string& service, const steering::load_report& load)
+    steering::worker& from,
+    const steering::load_report& load,
+    base::instant now)
 {
-    spill_gates_[service].note(load);
+    const auto& entry = from.entry();
+    from.report(load, now);
+    spill_gates_[entry.service][region_of(entry.zone)].note(load);
+}
+
+void fleet_view::count_outcome(const std::string& service, bool failed)
+{
+    auto& share = failing_[service];
+    share += failing_weight * ((failed ? 1.0 : 0.0) - share);
+}
+
+void fleet_view::note_outcome(
+    steering::worker& by, bool failed, base::instant now)
+{
+    const auto& service = by.entry().service;
+    count_outcome(service, failed);
+    const auto before = by.doubted(now);
+    by.answered(failed, failing_[service], now);
+    log_doubt(by, before, failing_[service], now);
+}
+
+void fleet_view::note_timeout(steering::worker& by, base::instant now)
+{
+    const auto& service = by.entry().service;
+    count_outcome(service, true);
+    const auto before = by.doubted(now);
+    by.timed_out(failing_[service], now);
+    log_doubt(by, before, failing_[service], now);
+}
+
+void fleet_view::note_unreachable(steering::worker& one, base::instant now)
+{
+    const auto before = one.doubted(now);
+    one.doubt(worker_doubt::unreachable, now);
+    log_doubt(one, before, failing_[one.entry().service], now);
 }
 
 bool fleet_view::spend_retry(const std::string& service, base::instant now)
@@ -316,7 +403,9 @@
     base::instant now)
 {
     const std::string name{region};
-    if (!region_pace_.allows(name, terms_.region_step, now))
+    const auto plan = plans_.find(request.service);
+    const bool paced = now - plan->second.adopted_at() > capacity_change_time;
+    if (paced && !region_pace_.allows(name, terms_.region_step, now))
     {
         return false;
     }
@@ -337,12 +426,7 @@
     auto policy = terms_.choice;
     const std::string service{request.service};
     policy.full_at = limits_[service].value();
-    if (!spill_gates_[service].open())
-    {
-        policy.idle_below = 0;
-    }
     const bool first_rank = urgent(*request.route);
-    std::size_t asked = 0;
     const auto plan = plans_.find(request.service);
     for (const auto region : plan->second.order(request.object))
     {
@@ -350,11 +434,14 @@
         {
             continue;
         }
+        const bool spill = spill_gates_[service][std::string{region}].open();
+        policy.idle_below = spill ? terms_.choice.idle_below : 0.0;
         const auto workers = workers_in(request.service, region);
         const auto open = candidates(workers, request, accept_failing, now);
         const auto ranked = steering::rank_workers(
-            request.object, open, policy, first_rank, asked);
-        asked += open.size();
+            request.object, open, policy, first_rank, out.candidates);
+        out.candidates += open.size();
+        out.with_room += ranked.size();
         for (const auto& next : ranked)
         {
             const auto& one = workers[next.index];
@@ -365,7 +452,6 @@
             }
         }
     }
-    out.any_candidate = asked > 0;
     return out;
 }
 
@@ -379,7 +465,7 @@
         plan.follow(supplies(service, now), members.self().region, now);
     }
     auto found = place_among(request, false, now);
-    if (!found.chosen && !found.any_candidate)
+    if (!found.chosen && found.candidates == 0)
     {
         found = place_among(request, true, now);
     }
@@ -387,9 +473,18 @@
     {
         return found.chosen;
     }
+    if (found.candidates == 0)
+    {
+        return fail(result_code::no_upstream, service);
+    }
     return fail(
-        found.any_candidate ? result_code::no_room : result_code::no_upstream,
-        service);
+        result_code::no_room,
+        fmt::format(
+            "{}: {} workers, {} with room, full at {:.2f}",
+            service,
+            found.candidates,
+            found.with_room,
+            limits_[service].value()));
 }
 
 } // namespace waxwingvalve::front
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -97,9 +97,18 @@
     void note_answer(
         const std::string& service, base::duration took, base::duration target);
 
-    // A worker of the service reported its load with an answer.
+    // A worker reported its load with an answer.
     void note_load(
-        const std::string& service, const steering::load_report& load);
+        steering::worker& from,
+        const steering::load_report& load,
+        base::instant now);
+
+    // A request to the worker was answered, well or not.
+    void note_outcome(steering::worker& by, bool failed, base::instant now);
+    // It had no answer within its time.
+    void note_timeout(steering::worker& by, base::instant now);
+    // The worker's address takes no connection, or is another worker's.
+    void note_unreachable(steering::worker& one, base::instant now);
 
     // True when a further send may be made to the service; it is counted.
     bool spend_retry(const std::string& service, base::instant now);
@@ -125,12 +134,13 @@
         const placement_request& request,
         bool accept_failing,
         base::instant now) const;
-    // The first worker with room, region by region, and whether any might have
-    // taken the request.
+    // The first worker with room, region by region.
     struct placement
     {
         worker_ptr chosen{};
-        bool any_candidate{false};
+        // Workers that may take the request, and those of them with room.
+        std::size_t candidates{0};
+        std::size_t with_room{0};
     };
     placement place_among(
         const placement_request& request,
@@ -144,6 +154,7 @@
         std::string_view region,
         base::instant now);
     void measure_requests(base::instant now);
+    void count_outcome(const std::string& service, bool failed);
     std::vector<worker_ptr> workers_in(
         std::string_view service, std::string_view region) const;
     std::vector<steering::region_supply> supplies(
@@ -168,7 +179,11 @@
     steering::region_pace region_pace_;
     std::map<std::string, steering::fleet_retry_budget> budgets_;
     std::map<std::string, steering::fullness_limit> limits_;
-    std::map<std::string, steering::spill_gate> spill_gates_;
+    // By service and region.
+    std::map<std::string, std::map<std::string, steering::spill_gate>>
+        spill_gates_;
+    // Share of failures among the answers of all workers of a service.
+    std::map<std::string, double> failing_;
     std::map<std::string, steering::region_plan, std::less<>> plans_;
     std::vector<std::string> live_names_;
     // Requests of callers since the rate was measured.
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -18,7 +18,6 @@
 using base::log_channel;
 using base::log_level;
 using base::result_code;
-using steering::worker_doubt;
 
 namespace
 {
@@ -312,8 +311,7 @@
     if (const auto load =
             parse_load(value_of(answer.fields, context_.fields.worker_load)))
     {
-        worker.report(*load, now);
-        context_.view.note_load(service_, *load);
+        context_.view.note_load(worker, *load, now);
     }
     if (const auto cold =
             to_number(value_of(answer.fields, context_.fields.cold_for)))
@@ -331,14 +329,14 @@
     if (answer.status == status_misdirected)
     {
         // Another worker has the address: the entry is out of date.
-        worker->doubt(worker_doubt::unreachable, now);
+        context_.view.note_unreachable(*worker, now);
         retry_or_refuse({result_code::no_upstream, worker->entry().id}, true);
         return;
     }
     if (net::find_field(answer.fields, context_.fields.not_executed))
     {
         const bool full = worker->load(now) >= worker->slots();
-        worker->answered(!full, now);
+        context_.view.note_outcome(*worker, !full, now);
         retry_or_refuse({result_code::shed_by_upstream}, true);
         return;
     }
@@ -347,14 +345,14 @@
         net::find_field(answer.fields, context_.fields.signature).has_value();
     if (success(answer.status) && own)
     {
-        worker->answered(false, now);
+        context_.view.note_outcome(*worker, false, now);
         context_.view.note_answer(
             service_, now - attempt_began_, route_->target_latency);
         finish(std::move(answer), "passed_on");
         return;
     }
     sent_ = sent_state::unknown;
-    worker->answered(true, now);
+    context_.view.note_outcome(*worker, true, now);
     if (!success(answer.status))
     {
         last_answer_ = std::move(answer);
@@ -396,7 +394,7 @@
         base::to_milliseconds(now - attempt_began_));
     if (outcome.end == exchange_end::not_connected)
     {
-        worker->doubt(worker_doubt::unreachable, now);
+        context_.view.note_unreachable(*worker, now);
         ++connect_failures_;
         if (connect_failures_ > most_connect_failures)
         {
@@ -407,7 +405,7 @@
         return;
     }
     sent_ = sent_state::unknown;
-    worker->answered(true, now);
+    context_.view.note_outcome(*worker, true, now);
     if (outcome.end == exchange_end::closed_early)
     {
         check_for_crash(worker);
@@ -446,8 +444,8 @@
             {
                 return;
             }
-            worker->doubt(
-                worker_doubt::unreachable, base::monotonic_clock::now());
+            self->context_.view.note_unreachable(
+                *worker, base::monotonic_clock::now());
             const bool counts = self->context_.view.crashes.crashed(
                 self->digest_, began, ended);
             if (counts)
@@ -504,7 +502,7 @@
         sent_ = sent_state::unknown;
         if (worker_)
         {
-            worker_->timed_out(base::monotonic_clock::now());
+            context_.view.note_timeout(*worker_, base::monotonic_clock::now());
             context_.view.note_answer(
                 service_, route_->timeout, route_->target_latency);
         }
@@ -519,6 +517,7 @@
 
 void request_flow::refuse(const base::error& reason)
 {
+    reason_ = reason;
     const bool not_run = sent_ == sent_state::not_run;
     auto answer = net::make_refusal(
         reason, not_run ? net::outcome::not_run : net::outcome::unknown);
@@ -602,6 +601,8 @@
         end,
         "status",
         status,
+        "reason",
+        reason_ ? to_string(*reason_) : std::string{},
         "took_ms",
         base::to_milliseconds(base::monotonic_clock::now() - received_at_),
         "configuration",
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -105,6 +105,8 @@
     std::uint32_t sends_{0};
     std::uint32_t connect_failures_{0};
     sent_state sent_{sent_state::not_run};
+    // Why the request was refused.
+    std::optional<base::error> reason_{};
     // An answer of a worker that is passed on if nothing better comes.
     std::optional<net::http_response> last_answer_;
     bool caller_gone_{false};
--- a/tests/decision/steering/region_plan_test.cpp
+++ b/tests/decision/steering/region_plan_test.cpp
@@ -114,6 +114,24 @@
     BOOST_TEST(before < 0.9);
 }
 
+// Pattern: half of a region's workers are taken out. Its requests would be
+// refused while the division moves slowly, though other regions have room.
+BOOST_AUTO_TEST_CASE(lost_capacity_changes_the_division_at_once)
+{
+    auto supplies = small_region_supplies();
+    region_plan plan;
+    instant now{1h};
+    plan.follow(supplies, "lanna", now);
+    supplies[1].slots = 200;
+    now += 500ms;
+    plan.follow(supplies, "lanna", now);
+    BOOST_TEST(share_of(plan.shares(), "lanna") < 0.8);
+    BOOST_TEST((plan.adopted_at() == now));
+    now += 500ms;
+    plan.follow(supplies, "lanna", now);
+    BOOST_TEST((plan.adopted_at() < now));
+}
+
 BOOST_AUTO_TEST_CASE(objects_follow_the_shares)
 {
     region_plan plan;
--- a/tests/decision/steering/worker_table_test.cpp
+++ b/tests/decision/steering/worker_table_test.cpp
@@ -84,21 +84,50 @@
     auto now = begin;
     for (int i = 0; i < 20; ++i)
     {
-        one.answered(true, now);
+        one.answered(true, 0.0, now);
     }
     BOOST_TEST((one.doubted(now) == worker_doubt::failing));
     now += worker::first_pause;
     BOOST_TEST((one.doubted(now) == worker_doubt::none));
     BOOST_TEST(one.on_trial());
     one.begin_trial();
-    one.answered(true, now);
+    one.answered(true, 0.0, now);
     now += worker::first_pause;
     BOOST_TEST((one.doubted(now) == worker_doubt::failing));
     now += worker::first_pause;
-    one.answered(false, now);
+    one.answered(false, 0.0, now);
     BOOST_TEST(!one.on_trial());
 }
 
+// Pattern: all workers of a service shed more than half of their requests.
+// Taking them out one after the other would leave none.
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_like_all_others_is_not_doubted)
+{
+    worker one{entry("a"), begin};
+    for (int i = 0; i < 40; ++i)
+    {
+        one.answered(i % 9 < 5, 0.55, begin);
+        BOOST_TEST((one.doubted(begin) == worker_doubt::none));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_timeout_in_a_queue_does_not_speak_against_a_worker)
+{
+    worker one{entry("a"), begin};
+    one.report({4, 3, 4}, begin);
+    for (int i = 0; i < 20; ++i)
+    {
+        one.timed_out(0.0, begin);
+    }
+    BOOST_TEST((one.doubted(begin) == worker_doubt::none));
+    one.report({0, 0, 4}, begin);
+    for (int i = 0; i < 20; ++i)
+    {
+        one.timed_out(0.0, begin);
+    }
+    BOOST_TEST((one.doubted(begin) == worker_doubt::failing));
+}
+
 BOOST_AUTO_TEST_CASE(a_worker_is_cold_as_long_as_it_says)
 {
     worker one{entry("a"), begin};
