Steering: the pace of a region starts from the planned shares

Change: only a later division counts; without requests of lately the pace starts from the planned shares, and the region whose turn is next is always allowed.

--- a/packages/decision/steering/region_pace.cpp
+++ b/packages/decision/steering/region_pace.cpp
@@ -10,6 +10,9 @@
 
 // Fewer requests of lately say nothing about shares.
 constexpr double least_requests = 10;
+// Requests that the expected shares count for: enough that the first real
+// ones do not move them quickly.
+constexpr double expected_requests = 40;
 
 } // namespace
 
@@ -29,6 +32,23 @@
     }
 }
 
+void region_pace::expect(
+    std::span<const planned_share> shares, base::instant now)
+{
+    fade(now);
+    if (requests_ >= least_requests)
+    {
+        return;
+    }
+    requests_ = expected_requests;
+    counts_.clear();
+    for (const auto& one : shares)
+    {
+        counts_[one.region] = one.share * expected_requests;
+        regions_[one.region] = {.share = one.share};
+    }
+}
+
 double region_pace::allowed(const region_share& one, double step) const
 {
     return std::min(1.0, one.share + used_part * step);
@@ -44,7 +64,18 @@
     }
     auto& one = regions_[region];
     one.share = counts_[region] / requests_;
-    return one.credit + allowed(one, step) >= 1.0 || allowed(one, step) >= 1.0;
+    const double turn = turn_of(one, step);
+    // Some region is always allowed: the one whose turn is next.
+    return turn >= 1.0 || allowed(one, step) >= 1.0 ||
+           std::ranges::all_of(
+               regions_,
+               [&](const auto& other)
+               { return turn_of(other.second, step) <= turn; });
+}
+
+double region_pace::turn_of(const region_share& one, double step) const
+{
+    return one.credit + allowed(one, step);
 }
 
 void region_pace::count(
--- a/packages/decision/steering/region_pace.hpp
+++ b/packages/decision/steering/region_pace.hpp
@@ -8,9 +8,11 @@
 #pragma once
 
 #include <map>
+#include <span>
 #include <string>
 
 #include "base/time.hpp"
+#include "decision/steering/region_plan.hpp"
 
 namespace waxwingvalve::decision::steering
 {
@@ -29,6 +31,10 @@
     // held to fractions of one.
     static constexpr double most_ahead = 1.5;
 
+    // Shares to start from while there were few requests of lately: those
+    // that the division of the region's requests plans.
+    void expect(std::span<const planned_share> shares, base::instant now);
+
     // True when a request may run in `region` without a faster change than
     // `step` from window to window.
     bool allows(const std::string& region, double step, base::instant now);
@@ -47,6 +53,8 @@
 
     void fade(base::instant now);
     double allowed(const region_share& one, double step) const;
+    // A region may take a request from 1 on.
+    double turn_of(const region_share& one, double step) const;
 
     std::map<std::string, region_share> regions_;
     // Requests of lately, fading.
--- a/packages/decision/steering/region_plan.cpp
+++ b/packages/decision/steering/region_plan.cpp
@@ -161,9 +161,10 @@
     changed_at_ = now;
     if (shares_.size() != target.size() || capacity_changed(supplies))
     {
+        // The first division is no change.
+        adopted_at_ = shares_.empty() ? adopted_at_ : now;
         shares_ = std::move(target);
         adopted_.assign(supplies.begin(), supplies.end());
-        adopted_at_ = now;
         return;
     }
     const double far = difference(shares_, target);
--- a/packages/decision/steering/region_plan.hpp
+++ b/packages/decision/steering/region_plan.hpp
@@ -74,7 +74,7 @@
         base::instant now);
 
     const std::vector<planned_share>& shares() const { return shares_; }
-    // When the division last changed at once.
+    // When the division last changed at once; never by the first one.
     base::instant adopted_at() const { return adopted_at_; }
 
     // The regions in the order in which an object's requests try them. An
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -404,6 +404,7 @@
 {
     const std::string name{region};
     const auto plan = plans_.find(request.service);
+    region_pace_.expect(plan->second.shares(), now);
     const bool paced = now - plan->second.adopted_at() > capacity_change_time;
     if (paced && !region_pace_.allows(name, terms_.region_step, now))
     {
--- a/tests/decision/steering/region_pace_test.cpp
+++ b/tests/decision/steering/region_pace_test.cpp
@@ -71,6 +71,51 @@
     BOOST_TEST(last >= 475);
 }
 
+// Pattern: the first seconds of a fleet, in which every object is new to its
+// worker, the near workers queue and all requests would go abroad. They
+// return home seconds later, so what may go is bounded from the first
+// request on. Stated bound: `step`.
+BOOST_AUTO_TEST_CASE(the_first_requests_keep_to_the_expected_shares)
+{
+    using waxwingvalve::decision::steering::planned_share;
+    const std::vector<planned_share> expected{{"addis", 0.99}, {"harar", 0.01}};
+    region_pace pace;
+    int abroad = 0;
+    constexpr int requests = 40;
+    const instant begin{1h};
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto now = begin + i * 50ms;
+        pace.expect(expected, now);
+        const bool allowed = pace.allows("harar", step, now);
+        pace.count(allowed ? "harar" : "addis", step, now);
+        abroad += allowed ? 1 : 0;
+    }
+    BOOST_TEST(abroad <= step * requests);
+}
+
+// Pattern: a small region that sends most of its requests elsewhere. Each of
+// the first requests finds a region that may take it.
+BOOST_AUTO_TEST_CASE(planned_shares_refuse_no_first_request)
+{
+    using waxwingvalve::decision::steering::planned_share;
+    const std::vector<planned_share> expected{
+        {"isan", 0.27}, {"lanna", 0.33}, {"plain", 0.4}};
+    region_pace pace;
+    const instant begin{1h};
+    for (int i = 0; i < 100; ++i)
+    {
+        const auto now = begin + i * 50ms;
+        pace.expect(expected, now);
+        const auto found = std::ranges::find_if(
+            expected,
+            [&](const planned_share& one)
+            { return pace.allows(one.region, step, now); });
+        BOOST_REQUIRE((found != expected.end()));
+        pace.count(found->region, step, now);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(without_a_past_every_region_is_allowed)
 {
     region_pace pace;
--- a/tests/decision/steering/region_plan_test.cpp
+++ b/tests/decision/steering/region_plan_test.cpp
@@ -122,6 +122,7 @@
     region_plan plan;
     instant now{1h};
     plan.follow(supplies, "lanna", now);
+    BOOST_TEST((plan.adopted_at() == instant{}));
     supplies[1].slots = 200;
     now += 500ms;
     plan.follow(supplies, "lanna", now);
