Steering: spill to a further region only while the own one has slots free

An object's requests ran on 3.8 workers: no answers told of a further region's workers, so its gate was open.

--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -435,7 +435,10 @@
         {
             continue;
         }
-        const bool spill = spill_gates_[service][std::string{region}].open();
+        // Few answers tell of a further region: the own workers' load counts
+        // there too.
+        const bool spill = spill_gates_[service][std::string{region}].open() &&
+                           spill_gates_[service][members.self().region].open();
         policy.idle_below = spill ? terms_.choice.idle_below : 0.0;
         const auto workers = workers_in(request.service, region);
         const auto open = candidates(workers, request, accept_failing, now);
