--- a/packages/decision/steering/fleet_members.cpp
+++ b/packages/decision/steering/fleet_members.cpp
@@ -98,7 +98,17 @@
     const fleet_beat& beat, base::instant now)
 {
     reception out;
+    const auto sender = others_.find(key_of(beat.sender.name));
+    const bool joins =
+        beat.sender.name != self_.name &&
+        (sender == others_.end() ||
+         sender->second.member.incarnation < beat.sender.incarnation);
     take_member(beat.sender, now, out);
+    if (joins)
+    {
+        // It should not have to wait until somebody draws it.
+        out.replies.push_back({beat.sender.peer_address, make_beat(now)});
+    }
     for (const auto& one : beat.members)
     {
         take_member(one, now, out);
--- a/tests/decision/steering/fleet_members_test.cpp
+++ b/tests/decision/steering/fleet_members_test.cpp
@@ -196,6 +196,21 @@
     BOOST_TEST(all.knows_live(2, 1));
 }
 
+// Pattern: a daemon starts in a fleet that runs. Its first message to a seed
+// is answered with who lives, so that it need not wait until it is drawn.
+BOOST_AUTO_TEST_CASE(a_daemon_that_joins_knows_all_at_once)
+{
+    fleet all{11};
+    all.down.push_back(7);
+    all.run(5s);
+    all.down.clear();
+    for (const auto& message : all.daemons[7].next_round(all.now))
+    {
+        all.deliver(message);
+    }
+    BOOST_TEST(all.daemons[7].live_names(all.now).size() == 11U);
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_daemon_says_so)
 {
     fleet all{5};
