Soak: real daemons under signals, cut paths and a failing store

Five daemons as processes on loopback, six workers behind relays, 24 callers and the stand-in store; kills, stops, pauses, reloads, cut, silent and slow paths, a store that refuses, loses answers, is silent or forgets, new configurations, all overlapping by a seed. Checked from what workers and callers see: run at most once, true refusals, own answers, recovery, drain.

--- a/packages/decision/steering/region_plan.cpp
+++ b/packages/decision/steering/region_plan.cpp
@@ -34,6 +34,7 @@
         demand += one.demand;
     }
     std::vector<region_balance> out;
+    out.reserve(supplies.size());
     for (const auto& one : supplies)
     {
         out.push_back(
@@ -189,6 +190,7 @@
     }
     std::ranges::sort(scored);
     std::vector<std::string_view> out;
+    out.reserve(scored.size());
     for (const auto& [score, region] : scored)
     {
         out.push_back(region);
--- /dev/null
+++ b/tests/soak/soak_world.cpp
@@ -0,0 +1,341 @@
+#include "soak/soak_world.hpp"
+
+#include <csignal>
+
+#include <fstream>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace waxwingvalve::soak
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::string_view attempt_field = "X-Waxwingvalve-Attempt-Id";
+constexpr std::string_view target_field = "X-Waxwingvalve-Target-Instance";
+constexpr std::string_view signature_field =
+    "X-Waxwingvalve-Response-Signature";
+// A caller takes a request without an answer for lost after this.
+constexpr std::chrono::milliseconds caller_time{3'000};
+constexpr int caller_port = 18'161;
+
+std::string value_of(const std::string& head, std::string_view field)
+{
+    const auto at = head.find(fmt::format("{}: ", field));
+    if (at == std::string::npos)
+    {
+        return {};
+    }
+    const auto begin = at + field.size() + 2;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+base::endpoint address_of(const tcp::acceptor& acceptor)
+{
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+std::string settings_of(int number, const base::endpoint& store)
+{
+    const auto at = [number](int port)
+    { return fmt::format("127.0.1.{}:{}", number + 1, port); };
+    return fmt::format(
+        R"({{"schema_version": 1, "name": "entry-{}", "region": "addis",
+"zone": "addis-a", "caller_address": "{}", "readiness_address": "{}",
+"lookup_address": "{}", "control_address": "{}", "peer_port": {},
+"seeds": ["127.0.1.1:{}", "127.0.1.2:{}"],
+"zones": [{{"zone": "addis-a", "region": "addis"}}],
+"store_address": "{}", "lookup_lifetime": "1s", "stop_time": "4s",
+"retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 100,
+"log_level": "info"}})",
+        number,
+        at(caller_port),
+        at(caller_port + 1),
+        at(caller_port + 2),
+        at(caller_port + 3),
+        caller_port + 4,
+        caller_port + 3,
+        caller_port + 3,
+        to_string(store));
+}
+
+} // namespace
+
+struct soak_worker::connection
+{
+    connection(tcp::socket from, asio::io_context& loop)
+        : socket{std::move(from)}, timer{loop}
+    {
+    }
+
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::string bytes{};
+    std::string answer{};
+};
+
+soak_worker::soak_worker(
+    asio::io_context& loop, std::string id, ledger& seen, std::uint64_t seed)
+    : loop_{loop}, id_{std::move(id)}, seen_{seen}, random_{seed},
+      acceptor_{loop, {asio::ip::address_v4::loopback(), 0}}
+{
+    tcp::acceptor probe{loop, {asio::ip::address_v4::loopback(), 0}};
+    relay_address_ = address_of(probe);
+    probe.close();
+    relay_ = std::make_unique<stand_ins::relay>(
+        loop, relay_address_, address_of(acceptor_), seed);
+    if (!relay_->start())
+    {
+        throw std::runtime_error{"the relay's port was taken"};
+    }
+    accept();
+}
+
+void soak_worker::accept()
+{
+    acceptor_.async_accept(
+        [this](const error_code& failure, tcp::socket socket)
+        {
+            if (!failure)
+            {
+                read(std::make_shared<connection>(std::move(socket), loop_));
+                accept();
+            }
+        });
+}
+
+void soak_worker::read(const std::shared_ptr<connection>& from)
+{
+    asio::async_read_until(
+        from->socket,
+        asio::dynamic_buffer(from->bytes),
+        "\r\n\r\n",
+        [this, from](const error_code& failure, std::size_t size)
+        {
+            if (failure)
+            {
+                return;
+            }
+            auto head = from->bytes.substr(0, size);
+            from->bytes.erase(0, size);
+            const auto length = value_of(head, "Content-Length");
+            const std::size_t body = length.empty() ? 0 : std::stoul(length);
+            const auto missing = body - std::min(body, from->bytes.size());
+            asio::async_read(
+                from->socket,
+                asio::dynamic_buffer(from->bytes),
+                asio::transfer_exactly(missing),
+                [this, from, body, head = std::move(head)](
+                    const error_code& ended, std::size_t)
+                {
+                    if (!ended)
+                    {
+                        from->bytes.erase(0, body);
+                        serve(from, head);
+                    }
+                });
+        });
+}
+
+void soak_worker::serve(const std::shared_ptr<connection>& to, std::string head)
+{
+    const auto id = value_of(head, attempt_field);
+    const bool mine = value_of(head, target_field) == id_;
+    if (mine)
+    {
+        auto& record = seen_.attempts[id];
+        ++record.runs;
+        seen_.last_run[id_] = base::monotonic_clock::now();
+        if (!record.idempotent && record.runs > 1)
+        {
+            seen_.broken.push_back("ran twice: " + id);
+        }
+    }
+    to->answer =
+        mine ? fmt::format(
+                   "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s\r\nContent-Length: "
+                   "{}\r\n\r\n{}",
+                   attempt_field,
+                   id,
+                   signature_field,
+                   id.size(),
+                   id)
+             : "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n";
+    std::uniform_int_distribution<int> work{5, 60};
+    to->timer.expires_after(std::chrono::milliseconds{work(random_)});
+    to->timer.async_wait(
+        [this, to](const error_code&)
+        {
+            asio::async_write(
+                to->socket,
+                asio::buffer(to->answer),
+                [this, to](const error_code& failure, std::size_t)
+                {
+                    if (!failure)
+                    {
+                        read(to);
+                    }
+                });
+        });
+}
+
+soak_daemon::soak_daemon(
+    int number, const base::endpoint& store, std::filesystem::path folder)
+    : number_{number}, folder_{std::move(folder)},
+      settings_{folder_ / fmt::format("entry-{}.json", number)}
+{
+    std::ofstream{settings_} << settings_of(number, store);
+    start();
+}
+
+soak_daemon::~soak_daemon()
+{
+    if (running())
+    {
+        send(SIGKILL);
+    }
+    std::error_code ignored;
+    child_.wait(ignored);
+}
+
+void soak_daemon::start()
+{
+    namespace bp = boost::process;
+    const auto log = folder_ / fmt::format("entry-{}.log", number_);
+    std::FILE* out = std::fopen(log.c_str(), "a");
+    child_ = bp::child{
+        WAXWINGVALVE_PLATFORM_DAEMON,
+        bp::args({"--settings", settings_.string()}),
+        bp::std_in<bp::null, bp::std_out> out,
+        bp::std_err > out,
+        // Else a closed relay's sockets would live on in the daemons.
+        bp::limit_handles};
+    if (out != nullptr)
+    {
+        static_cast<void>(std::fclose(out));
+    }
+}
+
+void soak_daemon::send(int signal)
+{
+    if (running())
+    {
+        ::kill(child_.id(), signal);
+    }
+}
+
+bool soak_daemon::running()
+{
+    std::error_code ignored;
+    return child_.running(ignored);
+}
+
+base::endpoint soak_daemon::callers() const
+{
+    return {fmt::format("127.0.1.{}", number_ + 1), caller_port};
+}
+
+soak_caller::soak_caller(
+    asio::io_context& loop,
+    const std::vector<std::unique_ptr<soak_daemon>>& daemons,
+    ledger& seen,
+    std::uint64_t seed)
+    : loop_{loop}, daemons_{daemons}, seen_{seen}, random_{seed}, socket_{loop},
+      timer_{loop}
+{
+}
+
+void soak_caller::start()
+{
+    if (stopped_)
+    {
+        return;
+    }
+    std::uniform_int_distribution<std::size_t> pick{0, daemons_.size() - 1};
+    const auto where = daemons_[pick(random_)]->callers();
+    id_ = fmt::format("{:016x}", random_());
+    const bool idempotent = random_() % 2 == 0;
+    seen_.attempts[id_] = {
+        .idempotent = idempotent, .sent_at = base::monotonic_clock::now()};
+    request_ = fmt::format(
+        "{} /{}/ HTTP/1.1\r\nHost: desk.example\r\n{}: {}\r\nCookie: "
+        "X-Waxwingvalve-Affinity-Key={}\r\nX-Waxwingvalve-Request-Deadline: "
+        "2000\r\n{}\r\n",
+        idempotent ? "GET" : "POST",
+        idempotent ? "safe" : "unsafe",
+        attempt_field,
+        id_,
+        random_() % 20,
+        idempotent ? "" : "Content-Length: 0\r\n");
+    answer_.clear();
+    socket_ = tcp::socket{loop_};
+    timer_.expires_after(caller_time);
+    timer_.async_wait(
+        [self = shared_from_this()](const error_code& cancelled)
+        {
+            error_code ignored;
+            if (!cancelled)
+            {
+                self->socket_.close(ignored);
+            }
+        });
+    socket_.async_connect(
+        {asio::ip::make_address(where.address), where.port},
+        [self = shared_from_this()](const error_code& failure)
+        { failure ? self->pause() : self->send(); });
+}
+
+void soak_caller::send()
+{
+    asio::async_write(
+        socket_,
+        asio::buffer(request_),
+        [self = shared_from_this()](const error_code&, std::size_t)
+        {
+            asio::async_read_until(
+                self->socket_,
+                asio::dynamic_buffer(self->answer_),
+                "\r\n\r\n",
+                [self](const error_code& failure, std::size_t)
+                {
+                    if (!failure)
+                    {
+                        self->note_answer();
+                    }
+                    self->pause();
+                });
+        });
+}
+
+// Bodies of these workers and daemons come in one piece with their head.
+void soak_caller::note_answer()
+{
+    auto& record = seen_.attempts[id_];
+    record.status = static_cast<unsigned>(std::stoul(answer_.substr(9, 3)));
+    const auto body = answer_.substr(answer_.find("\r\n\r\n") + 4);
+    const bool own = !value_of(answer_, signature_field).empty();
+    if (record.status == 200 && (!own || body != id_))
+    {
+        seen_.broken.push_back("wrong answer: " + id_);
+    }
+}
+
+void soak_caller::pause()
+{
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.expires_after(20ms);
+    timer_.async_wait([self = shared_from_this()](const error_code&)
+                      { self->start(); });
+}
+
+} // namespace waxwingvalve::soak
