--- a/tests/decision/steering/cold_pace_test.cpp
+++ b/tests/decision/steering/cold_pace_test.cpp
@@ -126,8 +126,10 @@
         for (std::size_t i = 0; i < names.size(); ++i)
         {
             auto seen = names;
-            std::ranges::rotate(
-                seen, seen.begin() + static_cast<std::ptrdiff_t>(i));
+            std::rotate(
+                seen.begin(),
+                seen.begin() + static_cast<std::ptrdiff_t>(i),
+                seen.end());
             seen.resize(static_cast<std::size_t>(known));
             const bool settled = now - begin >= settle_time;
             in_second +=
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -146,7 +146,8 @@
         });
 }
 
-void soak_worker::serve(const std::shared_ptr<connection>& to, std::string head)
+void soak_worker::serve(
+    const std::shared_ptr<connection>& to, const std::string& head)
 {
     const auto id = value_of(head, attempt_field);
     const bool mine = value_of(head, target_field) == id_;
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -67,7 +67,7 @@
 
     void accept();
     void read(const std::shared_ptr<connection>& from);
-    void serve(const std::shared_ptr<connection>& to, std::string head);
+    void serve(const std::shared_ptr<connection>& to, const std::string& head);
 
     boost::asio::io_context& loop_;
     std::string id_;
