--- a/packages/cli/steering_records.cpp
+++ b/packages/cli/steering_records.cpp
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdint>
 #include <vector>
 
 #include <boost/algorithm/string/split.hpp>
 #include <boost/json.hpp>
 
+#include "base/number.hpp"
+
 namespace waxwingvalve::cli
 {
 namespace
@@ -35,12 +36,9 @@
 base::result<std::string> shift_record(std::span<const std::string> operands)
 {
     constexpr std::size_t wanted = 4;
-    std::uint32_t percent{};
-    const auto& last = operands.empty() ? "" : operands.back();
-    const auto [end, failure] =
-        std::from_chars(last.data(), last.data() + last.size(), percent);
-    if (operands.size() != wanted || failure != std::errc{} ||
-        end != last.data() + last.size())
+    const auto percent = base::parse_number<std::uint32_t>(
+        operands.empty() ? "" : operands.back());
+    if (operands.size() != wanted || !percent)
     {
         return fail(
             result_code::command_line_invalid,
@@ -53,7 +51,7 @@
         {"service", operands[0]},
         {"from_zones", split_names(operands[1])},
         {"to_zones", split_names(operands[2])},
-        {"percent", percent}});
+        {"percent", *percent}});
 }
 
 base::result<std::string> drain_record(std::span<const std::string> operands)
--- a/packages/daemon/serving/front.cpp
+++ b/packages/daemon/serving/front.cpp
@@ -1,8 +1,8 @@
 #include "daemon/serving/front.hpp"
 
 #include <algorithm>
-#include <charconv>
 
+#include "base/number.hpp"
 #include "daemon/serving/answers.hpp"
 #include "daemon/serving/entries.hpp"
 #include "decision/routing/operations.hpp"
@@ -19,14 +19,12 @@
 
 std::optional<milliseconds> read_deadline(std::string_view text)
 {
-    std::int64_t value{};
-    const auto* end = text.data() + text.size();
-    const auto [stop, failure] = std::from_chars(text.data(), end, value);
-    if (failure != std::errc{} || stop != end || value < 0)
+    const auto value = base::parse_number<std::int64_t>(text);
+    if (!value || *value < 0)
     {
         return std::nullopt;
     }
-    return milliseconds{value};
+    return milliseconds{*value};
 }
 
 // The attempt id that the asking peer gave; empty without one.
--- a/packages/decision/filings/filing_key.cpp
+++ b/packages/decision/filings/filing_key.cpp
@@ -1,10 +1,11 @@
 #include "decision/filings/filing_key.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 #include <fmt/format.h>
 
+#include "base/number.hpp"
+
 namespace waxwingvalve::decision::filings
 {
 namespace
@@ -44,14 +45,7 @@
     {
         return std::nullopt;
     }
-    std::uint64_t out{};
-    const auto* end = text->data() + text->size();
-    const auto [stop, failure] = std::from_chars(text->data(), end, out);
-    if (failure != std::errc{} || stop != end)
-    {
-        return std::nullopt;
-    }
-    return out;
+    return base::parse_number<std::uint64_t>(*text);
 }
 
 } // namespace
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -10,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "base/log.hpp"
+#include "base/number.hpp"
 #include "decision/retries/request_digest.hpp"
 
 namespace waxwingvalve::front
@@ -42,18 +42,6 @@
 constexpr double retry_after_s = 0.3;
 constexpr double retry_after_spread_s = 0.4;
 
-std::optional<std::uint64_t> to_number(std::string_view text)
-{
-    std::uint64_t out{};
-    const auto [end, failure] =
-        std::from_chars(text.data(), text.data() + text.size(), out);
-    if (failure != std::errc{} || end != text.data() + text.size())
-    {
-        return std::nullopt;
-    }
-    return out;
-}
-
 std::string_view value_of(
     std::span<const net::header_field> fields, std::string_view name)
 {
@@ -95,7 +83,8 @@
     for (auto& part : parts)
     {
         const auto end = std::min(text.find(','), text.size());
-        const auto number = to_number(text.substr(0, end));
+        const auto number =
+            base::parse_number<std::uint64_t>(text.substr(0, end));
         if (!number)
         {
             return std::nullopt;
@@ -128,8 +117,8 @@
     {
         route_ = *found;
     }
-    const auto told =
-        to_number(value_of(request_.fields, context_.fields.deadline));
+    const auto told = base::parse_number<std::uint64_t>(
+        value_of(request_.fields, context_.fields.deadline));
     deadline_ =
         received_at_ + (told ? base::duration{std::chrono::milliseconds{*told}}
                              : base::duration{default_deadline});
@@ -313,8 +302,8 @@
     {
         context_.view.note_load(worker, *load, now);
     }
-    if (const auto cold =
-            to_number(value_of(answer.fields, context_.fields.cold_for)))
+    if (const auto cold = base::parse_number<std::uint64_t>(
+            value_of(answer.fields, context_.fields.cold_for)))
     {
         worker.set_cold_for(std::chrono::milliseconds{*cold}, now);
     }
