Front: one way to log a new doubt; the pace keeps one map

Clean-up without a change of behaviour: note_outcome, note_timeout and note_unreachable each compared the doubt before and after; the shares of the region pace were kept beside the counts that they follow from; a placement copied a shared pointer for each worker of a region and found its plan again for each candidate; the pool's counts had no caller.

--- a/packages/decision/steering/region_pace.cpp
+++ b/packages/decision/steering/region_pace.cpp
@@ -26,9 +26,9 @@
     faded_at_ = now;
     const double kept = std::exp(-(passed / memory));
     requests_ *= kept;
-    for (auto& [region, count] : counts_)
+    for (auto& [region, one] : regions_)
     {
-        count *= kept;
+        one.requests *= kept;
     }
 }
 
@@ -41,17 +41,16 @@
         return;
     }
     requests_ = expected_requests;
-    counts_.clear();
+    regions_.clear();
     for (const auto& one : shares)
     {
-        counts_[one.region] = one.share * expected_requests;
-        regions_[one.region] = {.share = one.share};
+        regions_[one.region] = {.requests = one.share * expected_requests};
     }
 }
 
-double region_pace::allowed(const region_share& one, double step) const
+double region_pace::allowed(const region_count& one, double step) const
 {
-    return std::min(1.0, one.share + used_part * step);
+    return std::min(1.0, one.requests / requests_ + used_part * step);
 }
 
 bool region_pace::allows(
@@ -62,8 +61,7 @@
     {
         return true;
     }
-    auto& one = regions_[region];
-    one.share = counts_[region] / requests_;
+    const auto& one = regions_[region];
     const double turn = turn_of(one, step);
     // Some region is always allowed: the one whose turn is next.
     return turn >= 1.0 || allowed(one, step) >= 1.0 ||
@@ -73,7 +71,7 @@
                { return turn_of(other.second, step) <= turn; });
 }
 
-double region_pace::turn_of(const region_share& one, double step) const
+double region_pace::turn_of(const region_count& one, double step) const
 {
     return one.credit + allowed(one, step);
 }
@@ -82,13 +80,10 @@
     const std::string& region, double step, base::instant now)
 {
     fade(now);
-    counts_.try_emplace(region, 0.0);
     requests_ += 1;
-    counts_[region] += 1;
-    for (const auto& [name, count] : counts_)
+    regions_[region].requests += 1;
+    for (auto& [name, one] : regions_)
     {
-        auto& one = regions_[name];
-        one.share = count / requests_;
         one.credit += allowed(one, step) - (name == region ? 1.0 : 0.0);
         one.credit = std::clamp(one.credit, -most_ahead, most_ahead);
     }
--- a/packages/decision/steering/region_pace.hpp
+++ b/packages/decision/steering/region_pace.hpp
@@ -43,24 +43,24 @@
     void count(const std::string& region, double step, base::instant now);
 
 private:
-    struct region_share
+    struct region_count
     {
-        // Share of lately.
-        double share{};
+        // Requests of lately, fading.
+        double requests{};
         // Requests by which the region is short of its allowed share.
         double credit{};
     };
 
     void fade(base::instant now);
-    double allowed(const region_share& one, double step) const;
+    // The share that the region may have now.
+    double allowed(const region_count& one, double step) const;
     // A region may take a request from 1 on.
-    double turn_of(const region_share& one, double step) const;
+    double turn_of(const region_count& one, double step) const;
 
-    std::map<std::string, region_share> regions_;
-    // Requests of lately, fading.
+    std::map<std::string, region_count> regions_;
+    // Requests of lately in all regions, fading.
     double requests_{0};
     base::instant faded_at_{};
-    std::map<std::string, double> counts_;
 };
 
 } // namespace waxwingvalve::decision::steering
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -44,13 +44,16 @@
     return "unknown";
 }
 
-// A worker that was not doubted and is now gets no requests for a while.
-void log_doubt(
+// Logs that the event lets the worker be doubted, if it was not before.
+template <typename Event>
+void log_new_doubt(
     const steering::worker& one,
-    worker_doubt before,
     double peers_failing,
-    base::instant now)
+    base::instant now,
+    Event event)
 {
+    const auto before = one.doubted(now);
+    event();
     const auto doubt = one.doubted(now);
     if (before != worker_doubt::none || doubt == worker_doubt::none)
     {
@@ -233,15 +236,18 @@
     return out;
 }
 
-std::vector<fleet_view::worker_ptr> fleet_view::workers_in(
+std::vector<const fleet_view::worker_ptr*> fleet_view::workers_in(
     std::string_view service, std::string_view region) const
 {
-    std::vector<worker_ptr> out;
+    std::vector<const worker_ptr*> out;
     for (const auto& [zone, workers] : workers_.of_service(service))
     {
         if (region_of(zone) == region)
         {
-            out.insert(out.end(), workers.begin(), workers.end());
+            for (const auto& one : workers)
+            {
+                out.push_back(&one);
+            }
         }
     }
     return out;
@@ -274,25 +280,23 @@
 {
     const auto& service = by.entry().service;
     count_outcome(service, failed);
-    const auto before = by.doubted(now);
-    by.answered(failed, failing_[service], now);
-    log_doubt(by, before, failing_[service], now);
+    const double peers = failing_[service];
+    log_new_doubt(by, peers, now, [&] { by.answered(failed, peers, now); });
 }
 
 void fleet_view::note_timeout(steering::worker& by, base::instant now)
 {
     const auto& service = by.entry().service;
     count_outcome(service, true);
-    const auto before = by.doubted(now);
-    by.timed_out(failing_[service], now);
-    log_doubt(by, before, failing_[service], now);
+    const double peers = failing_[service];
+    log_new_doubt(by, peers, now, [&] { by.timed_out(peers, now); });
 }
 
 void fleet_view::note_unreachable(steering::worker& one, base::instant now)
 {
-    const auto before = one.doubted(now);
-    one.doubt(worker_doubt::unreachable, now);
-    log_doubt(one, before, failing_[one.entry().service], now);
+    const double peers = failing_[one.entry().service];
+    log_new_doubt(
+        one, peers, now, [&] { one.doubt(worker_doubt::unreachable, now); });
 }
 
 bool fleet_view::spend_retry(const std::string& service, base::instant now)
@@ -331,7 +335,7 @@
 }
 
 std::vector<steering::worker_candidate> fleet_view::candidates(
-    std::span<const worker_ptr> workers,
+    std::span<const worker_ptr* const> workers,
     const placement_request& request,
     bool accept_failing,
     base::instant now) const
@@ -340,7 +344,7 @@
     out.reserve(workers.size());
     for (std::size_t i = 0; i < workers.size(); ++i)
     {
-        const auto& one = *workers[i];
+        const auto& one = **workers[i];
         if (may_serve(one, request, accept_failing, now))
         {
             out.push_back({i, one.entry().id, one.load(now), one.slots()});
@@ -400,12 +404,12 @@
     steering::worker& one,
     const placement_request& request,
     std::string_view region,
+    const steering::region_plan& plan,
     base::instant now)
 {
     const std::string name{region};
-    const auto plan = plans_.find(request.service);
-    region_pace_.expect(plan->second.shares(), now);
-    const bool paced = now - plan->second.adopted_at() > capacity_change_time;
+    region_pace_.expect(plan.shares(), now);
+    const bool paced = now - plan.adopted_at() > capacity_change_time;
     if (paced && !region_pace_.allows(name, terms_.region_step, now))
     {
         return false;
@@ -421,15 +425,19 @@
 }
 
 fleet_view::placement fleet_view::place_among(
-    const placement_request& request, bool accept_failing, base::instant now)
+    const placement_request& request,
+    const steering::region_plan& plan,
+    bool accept_failing,
+    base::instant now)
 {
     placement out;
     auto policy = terms_.choice;
     const std::string service{request.service};
     policy.full_at = limits_[service].value();
     const bool first_rank = urgent(*request.route);
-    const auto plan = plans_.find(request.service);
-    for (const auto region : plan->second.order(request.object))
+    auto& gates = spill_gates_[service];
+    const bool own_spill = gates[members.self().region].open();
+    for (const auto region : plan.order(request.object))
     {
         if (!home_allows(*request.route, region))
         {
@@ -437,8 +445,7 @@
         }
         // Few answers tell of a further region: the own workers' load counts
         // there too.
-        const bool spill = spill_gates_[service][std::string{region}].open() &&
-                           spill_gates_[service][members.self().region].open();
+        const bool spill = own_spill && gates[std::string{region}].open();
         policy.idle_below = spill ? terms_.choice.idle_below : 0.0;
         const auto workers = workers_in(request.service, region);
         const auto open = candidates(workers, request, accept_failing, now);
@@ -448,8 +455,8 @@
         out.with_room += ranked.size();
         for (const auto& next : ranked)
         {
-            const auto& one = workers[next.index];
-            if (take(*one, request, region, now))
+            const auto& one = *workers[next.index];
+            if (take(*one, request, region, plan, now))
             {
                 out.chosen = one;
                 return out;
@@ -468,10 +475,10 @@
     {
         plan.follow(supplies(service, now), members.self().region, now);
     }
-    auto found = place_among(request, false, now);
+    auto found = place_among(request, plan, false, now);
     if (!found.chosen && found.candidates == 0)
     {
-        found = place_among(request, true, now);
+        found = place_among(request, plan, true, now);
     }
     if (found.chosen)
     {
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -130,7 +130,7 @@
         bool accept_failing,
         base::instant now) const;
     std::vector<steering::worker_candidate> candidates(
-        std::span<const worker_ptr> workers,
+        std::span<const worker_ptr* const> workers,
         const placement_request& request,
         bool accept_failing,
         base::instant now) const;
@@ -144,6 +144,7 @@
     };
     placement place_among(
         const placement_request& request,
+        const steering::region_plan& plan,
         bool accept_failing,
         base::instant now);
     bool home_allows(
@@ -152,10 +153,12 @@
         steering::worker& one,
         const placement_request& request,
         std::string_view region,
+        const steering::region_plan& plan,
         base::instant now);
     void measure_requests(base::instant now);
     void count_outcome(const std::string& service, bool failed);
-    std::vector<worker_ptr> workers_in(
+    // Valid as long as the list of workers.
+    std::vector<const worker_ptr*> workers_in(
         std::string_view service, std::string_view region) const;
     std::vector<steering::region_supply> supplies(
         std::string_view service, base::instant now) const;
--- a/packages/front/upstream_pool.cpp
+++ b/packages/front/upstream_pool.cpp
@@ -46,7 +46,6 @@
         }
         last->abandon();
     }
-    ++opened_;
     auto made = std::make_shared<upstream_connection>(context_, where);
     made->on_idle([this, key](const connection_ptr& idle)
                   { idle_[key].push_back(idle); });
@@ -86,14 +85,4 @@
     }
 }
 
-std::size_t upstream_pool::kept() const
-{
-    std::size_t sum = 0;
-    for (const auto& [key, list] : idle_)
-    {
-        sum += list.size();
-    }
-    return sum;
-}
-
 } // namespace waxwingvalve::front
--- a/packages/front/upstream_pool.hpp
+++ b/packages/front/upstream_pool.hpp
@@ -42,9 +42,6 @@
     void sweep(base::instant now);
     void drop(const std::string& worker_id);
 
-    std::uint64_t opened() const { return opened_; }
-    std::size_t kept() const;
-
 private:
     // Part of the worker's own idle time after which a kept connection is
     // not used again: the worker's close may be on its way.
@@ -56,7 +53,6 @@
     boost::asio::io_context& context_;
     // Most recently used last.
     std::map<std::string, std::vector<connection_ptr>> idle_;
-    std::uint64_t opened_{0};
 };
 
 } // namespace waxwingvalve::front
