Steering: crashes of one worker count once, and an answer clears everywhere

A daemon that refused it could not learn that the others answered it, and went on for ten minutes.

Change: an event carries the worker's incarnation and the age of the run. Answers travel in a field of their own, which earlier builds ignore.

--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -4,9 +4,19 @@
 #include <cmath>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace waxwingvalve::decision::steering
 {
 
+std::uint64_t incarnation_digest(const worker_entry& entry)
+{
+    const auto started_at = static_cast<std::uint64_t>(entry.started_at_ms);
+    const auto digest =
+        XXH3_64bits_withSeed(entry.id.data(), entry.id.size(), started_at);
+    return digest == 0 ? 1 : digest;
+}
+
 worker::worker(worker_entry entry, base::instant now) : entry_{std::move(entry)}
 {
     set_cold_time_left(entry_.cold_time_left, now);
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -40,6 +40,9 @@
     std::uint64_t report_number{};
 };
 
+// Digest of the worker's id and start, the same on every daemon; never 0.
+std::uint64_t incarnation_digest(const worker_entry& entry);
+
 // Requests running and queued at a worker, by its own report.
 struct load_report
 {
--- a/packages/front/peer_heartbeats.cpp
+++ b/packages/front/peer_heartbeats.cpp
@@ -56,10 +56,11 @@
     const auto now = base::monotonic_clock::now();
     auto messages = view_.members.next_round(now);
     view_.refresh_members(now);
-    const auto crashes = view_.crash_gossip.next_round();
+    const auto news = view_.crash_gossip.next_round(now);
     for (auto& message : messages)
     {
-        message.beat.crashes = crashes;
+        message.beat.crashes = news.crashes;
+        message.beat.answers = news.answers;
         send(message);
     }
 }
@@ -113,13 +114,7 @@
         return;
     }
     const auto now = base::monotonic_clock::now();
-    for (const auto& crash : beat.value().crashes)
-    {
-        if (view_.crash_gossip.receive(crash))
-        {
-            view_.crashes.record_remote_crash(crash.digest, now);
-        }
-    }
+    handle_crash_news(beat.value(), now);
     const auto received = view_.members.receive(beat.value(), now);
     for (const auto& reply : received.replies)
     {
@@ -142,4 +137,23 @@
     }
 }
 
+void peer_heartbeats::handle_crash_news(
+    const schema::fleet_beat& beat, base::instant now)
+{
+    for (const auto& event : beat.crashes)
+    {
+        if (const auto crash = view_.crash_gossip.receive(event, now))
+        {
+            view_.crashes.record_crash(*crash);
+        }
+    }
+    for (const auto& event : beat.answers)
+    {
+        if (const auto answer = view_.crash_gossip.receive(event, now))
+        {
+            view_.crashes.record_remote_answer(*answer);
+        }
+    }
+}
+
 } // namespace waxwingvalve::front
--- a/packages/front/peer_heartbeats.hpp
+++ b/packages/front/peer_heartbeats.hpp
@@ -12,6 +12,7 @@
 #include "base/endpoint.hpp"
 #include "base/result.hpp"
 #include "front/fleet_view.hpp"
+#include "schema/fleet.hpp"
 
 namespace waxwingvalve::front
 {
@@ -34,6 +35,7 @@
     void send(const steering::fleet_members::message& message);
     void receive();
     void handle_datagram(std::size_t size);
+    void handle_crash_news(const schema::fleet_beat& beat, base::instant now);
     void schedule();
 
     fleet_view& view_;
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -336,9 +336,12 @@
         retry_or_refuse({result_code::shed_by_upstream}, true);
         return;
     }
-    context_.view.crashes.record_answer(digest_);
     const bool signed_by_worker =
         net::find_field(answer.fields, context_.fields.signature).has_value();
+    if (signed_by_worker)
+    {
+        clear_suspicion();
+    }
     if (is_success(answer.status) && signed_by_worker)
     {
         context_.view.record_outcome(*worker, false, now);
@@ -414,6 +417,17 @@
     retry_or_refuse({result_code::answer_lost}, true);
 }
 
+// Tells the other daemons that a worker survived the request.
+void request_flow::clear_suspicion()
+{
+    const auto cleared = context_.view.crashes.record_answer(
+        digest_, base::monotonic_clock::now());
+    if (cleared)
+    {
+        context_.view.crash_gossip.publish(*cleared);
+    }
+}
+
 // A connection that closed without an answer may mean that the worker crashed.
 // Opens a new connection to check: if it is refused, the worker is gone and the
 // request is recorded as the suspected cause.
@@ -434,37 +448,46 @@
         [socket,
          worker,
          self = shared_from_this(),
-         began = attempt_started_at_,
-         ended = base::monotonic_clock::now()](
+         crash =
+             steering::worker_crash{
+                 .id = context_.view.crash_gossip.new_id(),
+                 .digest = digest_,
+                 .worker = steering::incarnation_digest(worker->entry()),
+                 .sent_at = attempt_started_at_,
+                 .ended_at = base::monotonic_clock::now()}](
             const boost::system::error_code& reason)
         {
-            if (reason != boost::asio::error::connection_refused)
+            if (reason == boost::asio::error::connection_refused)
             {
-                return;
+                self->record_crash(*worker, crash);
             }
-            self->context_.view.record_unreachable(
-                *worker, base::monotonic_clock::now());
-            const bool counted = self->context_.view.crashes.record_crash(
-                self->digest_, began, ended);
-            if (counted)
-            {
-                self->context_.view.crash_gossip.publish(self->digest_);
-            }
-            base::log_event(
-                log_level::warning,
-                log_channel::serving,
-                "worker_ended",
-                "request",
-                self->attempt_id_,
-                "worker",
-                worker->entry().id,
-                "digest",
-                self->digest_,
-                "counts",
-                counted);
         });
 }
 
+void request_flow::record_crash(
+    steering::worker& worker, const steering::worker_crash& crash)
+{
+    auto& view = context_.view;
+    view.record_unreachable(worker, base::monotonic_clock::now());
+    const bool counted = view.crashes.record_crash(crash);
+    if (counted)
+    {
+        view.crash_gossip.publish(crash);
+    }
+    base::log_event(
+        log_level::warning,
+        log_channel::serving,
+        "worker_ended",
+        "request",
+        attempt_id_,
+        "worker",
+        worker.entry().id,
+        "digest",
+        digest_,
+        "counts",
+        counted);
+}
+
 void request_flow::retry_or_refuse(const base::error& reason, bool costs_budget)
 {
     const auto now = base::monotonic_clock::now();
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -84,6 +84,9 @@
     // allow it; otherwise answers the caller with `reason`.
     void retry_or_refuse(const base::error& reason, bool costs_budget);
     void probe_for_crash(const fleet_view::worker_ptr& worker);
+    void record_crash(
+        steering::worker& worker, const steering::worker_crash& crash);
+    void clear_suspicion();
     void time_out();
     void refuse(const base::error& reason);
     void finish(net::http_response answer, std::string_view end);
--- a/packages/schema/fleet.cpp
+++ b/packages/schema/fleet.cpp
@@ -74,6 +74,17 @@
             out.crashes.emplace_back(std::make_unique<wire::crash_eventT>());
         event->id = one.id;
         event->digest = one.digest;
+        event->worker = one.worker;
+        event->sent_age_ms = one.sent_age_ms;
+        event->ended_age_ms = one.ended_age_ms;
+    }
+    for (const auto& one : beat.answers)
+    {
+        auto& event =
+            out.answers.emplace_back(std::make_unique<wire::answer_eventT>());
+        event->id = one.id;
+        event->digest = one.digest;
+        event->age_ms = one.age_ms;
     }
     for (const auto& one : beat.members)
     {
@@ -115,7 +126,16 @@
     }
     for (const auto& one : in.crashes)
     {
-        out.crashes.push_back({one->id, one->digest});
+        out.crashes.push_back(
+            {one->id,
+             one->digest,
+             one->worker,
+             one->sent_age_ms,
+             one->ended_age_ms});
+    }
+    for (const auto& one : in.answers)
+    {
+        out.answers.push_back({one->id, one->digest, one->age_ms});
     }
     for (const auto& one : in.members)
     {
--- a/packages/schema/fleet.hpp
+++ b/packages/schema/fleet.hpp
@@ -43,12 +43,26 @@
     bool leaving{};
 };
 
-// A worker ended while it ran the request of this digest.
+// A worker crashed while it ran the request of this digest.
 struct crash_event
 {
     // Random, so that an event that comes twice is told from two events.
     std::uint64_t id{};
     std::uint64_t digest{};
+    // Digest of the worker's incarnation; 0 if unknown, as from earlier builds.
+    std::uint64_t worker{};
+    // Ages of the run's begin and end when the message was sent.
+    std::uint32_t sent_age_ms{};
+    std::uint32_t ended_age_ms{};
+};
+
+// A worker answered a request that was suspected of a crash.
+struct answer_event
+{
+    std::uint64_t id{};
+    std::uint64_t digest{};
+    // Age of the answer when the message was sent.
+    std::uint32_t age_ms{};
 };
 
 struct fleet_beat
@@ -60,6 +74,7 @@
     // Daemons described to one that asked.
     std::vector<fleet_member> members{};
     std::vector<crash_event> crashes{};
+    std::vector<answer_event> answers{};
 };
 
 std::vector<std::uint8_t> encode(const fleet_beat& beat);
