--- a/tests/decision/retries/retry_budget_test.cpp
+++ b/tests/decision/retries/retry_budget_test.cpp
@@ -1,5 +1,7 @@
 // Tests the limit on attempts beyond the first.
+#include <algorithm>
 #include <cstdint>
+#include <random>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -57,6 +59,36 @@
     BOOST_TEST(attempts >= requests * 109 / 100);
 }
 
+// While only some requests fail, the budget holds at most one attempt beyond
+// the percentage; while all fail, it holds none.
+BOOST_AUTO_TEST_CASE(partial_failures_save_one_attempt_at_most)
+{
+    std::mt19937_64 random{20261204};
+    int most_saved = 0;
+    for (int run = 0; run < 1'000; ++run)
+    {
+        retry_budget budget{percent};
+        base::instant now{std::chrono::hours{1}};
+        const int requests = 100 + run % 20;
+        for (int number = 0; number < requests; ++number)
+        {
+            now += milliseconds{1};
+            budget.count_first_attempt(now);
+            if (std::bernoulli_distribution{0.5}(random))
+            {
+                static_cast<void>(budget.spend(now));
+            }
+        }
+        int saved = 0;
+        while (budget.spend(now))
+        {
+            ++saved;
+        }
+        most_saved = std::max(most_saved, saved);
+    }
+    BOOST_TEST(most_saved == 1);
+}
+
 BOOST_AUTO_TEST_CASE(low_traffic_can_retry)
 {
     retry_budget budget{percent};
