Capacity tests: wait until every worker has an owner

Cause: the fixture waited for the records alone. A record can be in force 60 ms before a daemon owns its first worker; the log of a failed run shows the call 15 ms after the drain's revision and the status page 0 owned workers, so it was refused as 4001 no_room, truthfully. Ruled out: the drain itself, which the list of entries already showed.

--- a/tests/end_to_end/capacity_test.cpp
+++ b/tests/end_to_end/capacity_test.cpp
@@ -75,6 +75,9 @@
         const auto revision = cluster.accept_record(json::serialize(record));
         BOOST_REQUIRE(revision == 2U);
         BOOST_REQUIRE(cluster.wait_for_revision(revision));
+        // A record can be in force before any worker has an owner, and an
+        // entry without owners refuses.
+        BOOST_REQUIRE(cluster.wait_for_owners());
     }
 
     std::vector<run_times> runs_of(const base::endpoint& worker) const
