Filings: a repeat before the ending is recorded is told what later ones are

Cause: a claimed key's caller is answered before the platform's row is written.

Change: a flight that has ended keeps the answer for repeats apart from the one for those that waited.

--- a/packages/daemon/serving/filing_flight.hpp
+++ b/packages/daemon/serving/filing_flight.hpp
@@ -32,9 +32,12 @@
 
     const decision::filings::request_digest& digest() const { return digest_; }
 
-    void complete(net::http_response answer)
+    // `answer` is for those that wait now. A repeat that comes later gets
+    // `repeat_answer`, as it will when the ending is recorded.
+    void complete(net::http_response answer, net::http_response repeat_answer)
     {
         answer_ = std::move(answer);
+        repeat_answer_ = std::move(repeat_answer);
         for (const auto& timer : std::exchange(waiters_, {}))
         {
             timer->cancel();
@@ -45,20 +48,23 @@
     boost::asio::awaitable<std::optional<net::http_response>> wait(
         base::instant deadline)
     {
-        if (!answer_)
+        if (answer_)
         {
-            auto timer = std::make_shared<boost::asio::steady_timer>(
-                co_await boost::asio::this_coro::executor, deadline);
-            waiters_.push_back(timer);
-            co_await timer->async_wait(
-                boost::asio::as_tuple(boost::asio::use_awaitable));
+            co_return repeat_answer_;
         }
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            co_await boost::asio::this_coro::executor, deadline);
+        waiters_.push_back(timer);
+        co_await timer->async_wait(
+            boost::asio::as_tuple(boost::asio::use_awaitable));
         co_return answer_;
     }
 
 private:
     decision::filings::request_digest digest_;
     std::optional<net::http_response> answer_;
+    // Set together with `answer_`.
+    net::http_response repeat_answer_;
     std::vector<std::shared_ptr<boost::asio::steady_timer>> waiters_;
 };
 
--- a/packages/daemon/serving/filings.cpp
+++ b/packages/daemon/serving/filings.cpp
@@ -276,7 +276,7 @@
     auto how = co_await run_once(filing.work);
     ledger_.finish(filing.key, to_ending(how));
     flights_.erase(filing.text);
-    flight->complete(std::move(how.answer));
+    flight->complete(how.answer, how.answer);
 }
 
 asio::awaitable<void> filing_gate::run_claimed(
@@ -290,22 +290,26 @@
         log_decision(filing.text, "nobody", "claim-failed");
         flights_.erase(filing.text);
         // Not "not-run": an earlier copy may have run through another entry.
-        flight->complete(make_refusal(
+        const auto refusal = make_refusal(
             {result_code::key_claim_failed, base::to_string(claim.reason)},
-            outcome::unknown));
+            outcome::unknown);
+        flight->complete(refusal, refusal);
         co_return;
     }
     if (claim.what == claim_verdict::held)
     {
         log_decision(filing.text, "nobody", "claim-held");
         flights_.erase(filing.text);
-        flight->complete(to_answer(claim.row, digest));
+        const auto answer = to_answer(claim.row, digest);
+        flight->complete(answer, answer);
         co_return;
     }
     log_decision(filing.text, settings_.name, "claimed");
     auto how = co_await run_once(filing.work);
     set_ending(claim.row, how);
-    flight->complete(std::move(how.answer));
+    auto repeat_answer =
+        how.what == outcome::done ? how.answer : to_answer(claim.row, digest);
+    flight->complete(std::move(how.answer), std::move(repeat_answer));
     // Until the row tells the ending, a repeat finds it with the flight.
     co_await record_claim(filing.text, std::move(claim.row));
     flights_.erase(filing.text);
--- a/tests/end_to_end/filings_under_faults_test.cpp
+++ b/tests/end_to_end/filings_under_faults_test.cpp
@@ -104,6 +104,18 @@
     BOOST_TEST(history_holds());
 }
 
+// The ending of a claimed key is told before its row is written.
+BOOST_AUTO_TEST_CASE(a_repeat_before_the_ending_is_recorded_is_told_the_same)
+{
+    set_workers(R"({"lose_answers":1})");
+    cluster.set_faults(cluster.platform(), R"({"delay_ms":300})");
+    BOOST_TEST(file(first, "recorded-late").outcome == "unknown");
+    BOOST_TEST(unknown_by(file(first, "recorded-late"), "3010"));
+    cluster.set_faults(cluster.platform(), R"({"delay_ms":0})");
+    BOOST_TEST(runs_of("recorded-late") == 1U);
+    BOOST_TEST(history_holds());
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_key_never_runs)
 {
     set_workers(R"({"shed":true})");
