Front: a bound on the memory of bodies, and uploads refused before them

Cause: bodies were held whole without a common bound, and twice once sent (a copy with the head): 1,000 callers with 360 KB each, or a few workers whose answers never end (64 MB each), take all memory of a VM. A body that stopped midway was kept for ever.

A request whose stated length does not fit is refused with 503, code 4006 and Retry-After before its body is read, also in place of 100 Continue; a chunked one when the memory ends. A body without progress for idle_timeout gets 408. An answer beyond the bound ends as one that broke off. The body is shared with the connections that send it. Gauges body_bytes and the counter bodies_refused_total on the metrics page.

--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "base/log.hpp"
+#include "front/retry_after.hpp"
 #include "net/request_framing.hpp"
 
 namespace waxwingvalve::front
@@ -92,8 +93,9 @@
     asio::ip::tcp::socket socket,
     closed_handler on_closed)
     : context_{context}, socket_{std::move(socket)},
-      on_closed_{std::move(on_closed)}, idle_since_{
-                                            base::monotonic_clock::now()}
+      on_closed_{std::move(on_closed)}, body_bytes_{context.memory.requests},
+      output_bytes_{context.memory.answers}, idle_since_{
+                                                 base::monotonic_clock::now()}
 {
 }
 
@@ -131,6 +133,7 @@
                 return;
             }
             self->buffer_.commit(size);
+            self->last_input_at_ = base::monotonic_clock::now();
             self->process_input();
             self->read();
         });
@@ -174,14 +177,20 @@
         refuse_input(code_of(failure));
         return false;
     }
-    if (parser_->is_header_done() && !head_parsed_)
+    const bool head_done = parser_->is_header_done();
+    if (head_done && !head_parsed_ && net::ambiguous_length(parser_->get()))
+    {
+        refuse_input(result_code::request_ambiguous_length);
+        return false;
+    }
+    if (head_done && !reserve_body_memory())
+    {
+        refuse_input(result_code::overloaded);
+        return false;
+    }
+    if (head_done && !head_parsed_)
     {
         head_parsed_ = true;
-        if (net::ambiguous_length(parser_->get()))
-        {
-            refuse_input(result_code::request_ambiguous_length);
-            return false;
-        }
         write_continue();
     }
     if (parser_->is_done())
@@ -192,6 +201,15 @@
     return used > 0 && failure != http::error::need_more;
 }
 
+// Returns false if there is no memory for the request's body. A length that the
+// caller states counts at once, a chunked body as it comes.
+bool client_session::reserve_body_memory()
+{
+    const std::uint64_t received = parser_->get().body().size();
+    const auto stated = parser_->content_length();
+    return body_bytes_.try_grow(std::max(received, stated.value_or(0)));
+}
+
 // Sends "100 Continue" to a caller that waits for it before sending the body.
 void client_session::write_continue()
 {
@@ -210,10 +228,14 @@
     parser_.reset();
     request_started_at_.reset();
     auto pending = std::make_shared<pending_request>();
+    pending->answer_bytes = limits::byte_hold{context_.memory.answers};
     pending->head_request = message.method() == http::verb::head;
     pending->close_after_answer = !keep_alive;
     pending->flow = std::make_shared<request_flow>(
-        context_, to_request(std::move(message)));
+        context_,
+        to_request(std::move(message)),
+        std::exchange(
+            body_bytes_, limits::byte_hold{context_.memory.requests}));
     pending_.push_back(std::move(pending));
     if (!keep_alive)
     {
@@ -221,20 +243,29 @@
     }
 }
 
+// Refuses the request that is being read, which has not run and will not.
 void client_session::refuse_input(result_code code)
 {
+    auto refusal = net::make_refusal({code}, net::outcome::not_run);
+    if (code == result_code::overloaded)
+    {
+        const std::string attempt_id{
+            parser_->get()[context_.fields.attempt_id]};
+        set_retry_after(refusal, attempt_id);
+    }
     parser_.reset();
+    body_bytes_.release();
     request_started_at_.reset();
-    queue_refusal(code);
+    queue_refusal(std::move(refusal), code);
 }
 
-// Queues a refusal, as the last answer, for input that is not a valid request.
-void client_session::queue_refusal(result_code code)
+// Queues a refusal as the connection's last answer.
+void client_session::queue_refusal(net::http_response refusal, result_code code)
 {
     auto pending = std::make_shared<pending_request>();
     pending->started = true;
     pending->close_after_answer = true;
-    pending->answer = net::make_refusal({code}, net::outcome::not_run);
+    pending->answer = std::move(refusal);
     base::log_event(
         base::log_level::info,
         base::log_channel::serving,
@@ -268,6 +299,7 @@
             [weak = weak_from_this(), pending](net::http_response answer)
             {
                 pending->answer = std::move(answer);
+                pending->answer_bytes.resize(pending->answer->body.size());
                 if (const auto self = weak.lock())
                 {
                     asio::post(
@@ -303,6 +335,7 @@
             (none_started_after &&
              (close_announced_ || (input_ended_ && pending_.empty())));
         append_answer(output_, *pending->answer, pending->head_request, close);
+        output_bytes_.resize(output_.size() + output_in_flight_.size());
         answers_added = true;
         if (close)
         {
@@ -338,7 +371,8 @@
         [self =
              shared_from_this()](const beast::error_code& failure, std::size_t)
         {
-            self->output_in_flight_.clear();
+            self->output_in_flight_ = {};
+            self->output_bytes_.resize(self->output_.size());
             self->write_started_at_.reset();
             if (self->closed_)
             {
@@ -417,6 +451,12 @@
         refuse_input(result_code::request_too_slow);
         return;
     }
+    if (request_started_at_ && head_parsed_ &&
+        now - last_input_at_ > limits.idle_time)
+    {
+        refuse_input(result_code::request_too_slow);
+        return;
+    }
     const bool idle = pending_.empty() && !request_started_at_ &&
                       output_in_flight_.empty() && !linger_started_at_;
     if (idle && now - idle_since_ > limits.idle_time)
@@ -436,6 +476,7 @@
     }
     input_ended_ = true;
     parser_.reset();
+    body_bytes_.release();
     request_started_at_.reset();
     if (pending_.empty() && output_in_flight_.empty())
     {
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -41,8 +41,9 @@
 
     void start();
 
-    // Enforces the timeouts for receiving a request head, for idle
-    // connections, for writing an answer and for lingering after shutdown.
+    // Enforces the timeouts for receiving a request head, for bodies that make
+    // no progress, for idle connections, for writing an answer and for
+    // lingering after shutdown.
     void check_timeouts(base::instant now);
 
     // Stops reading requests and closes the connection after the last pending
@@ -66,6 +67,8 @@
     {
         std::shared_ptr<request_flow> flow{};
         std::optional<net::http_response> answer{};
+        // Memory of the answer's body.
+        limits::byte_hold answer_bytes{};
         bool started{};
         bool head_request{};
         // Close the connection after this answer.
@@ -77,8 +80,9 @@
     void process_input();
     bool parse_request();
     void queue_request();
+    bool reserve_body_memory();
     void refuse_input(base::result_code code);
-    void queue_refusal(base::result_code code);
+    void queue_refusal(net::http_response refusal, base::result_code code);
     void start_pending();
     void send_finished_answers();
     void write();
@@ -94,11 +98,16 @@
     boost::beast::flat_buffer buffer_;
     std::optional<parser_type> parser_;
     std::deque<pending_ptr> pending_;
+    // Memory of the body that is being read.
+    limits::byte_hold body_bytes_;
     std::string output_;
     std::string output_in_flight_;
+    // Memory of the answers that are being written.
+    limits::byte_hold output_bytes_;
     base::instant idle_since_;
     // When parsing of the current, incomplete request began.
     std::optional<base::instant> request_started_at_;
+    base::instant last_input_at_{};
     std::optional<base::instant> write_started_at_;
     std::optional<base::instant> linger_started_at_;
     bool head_parsed_{false};
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -12,6 +12,7 @@
 #include "base/log.hpp"
 #include "base/number.hpp"
 #include "decision/retries/request_digest.hpp"
+#include "front/retry_after.hpp"
 
 namespace waxwingvalve::front
 {
@@ -38,12 +39,6 @@
 constexpr std::uint32_t max_connect_failures = 3;
 // With less time left than this, another attempt cannot finish in time.
 constexpr std::chrono::milliseconds min_time_for_attempt{40};
-// Retry-After of refused requests: the base gives full workers time to work off
-// their queues, the jitter keeps callers refused together from returning
-// together.
-constexpr double retry_after_s = 0.3;
-constexpr double retry_after_jitter_s = 0.4;
-
 std::string_view header_value(
     std::span<const net::header_field> fields, std::string_view name)
 {
@@ -97,16 +92,15 @@
     return steering::load_report{parts[0], parts[1], parts[2]};
 }
 
-// Returns a per-request value in [0, 1), derived from the attempt id.
-double jitter_of(std::string_view id)
-{
-    return steering::hash_rank(id, "retry-after");
-}
-
 } // namespace
 
-request_flow::request_flow(serving_context& context, net::http_request request)
+request_flow::request_flow(
+    serving_context& context,
+    net::http_request request,
+    limits::byte_hold body_bytes)
     : context_{context}, request_{std::move(request)},
+      body_{std::make_shared<const std::string>(std::move(request_.body))},
+      body_bytes_{std::move(body_bytes)},
       attempt_id_{header_value(request_.fields, context.fields.attempt_id)},
       received_at_{base::monotonic_clock::now()}, timer_{context.loop}
 {
@@ -178,7 +172,7 @@
         return false;
     }
     digest_ = decision::retries::digest_of(
-        host_of(request_), request_.method, request_.target, request_.body);
+        host_of(request_), request_.method, request_.target, *body_);
     if (context_.view.crashes.is_poisonous(digest_))
     {
         // Reported as unknown, so that the caller is not told to retry.
@@ -219,12 +213,11 @@
     send_to(chosen.value());
 }
 
-std::string request_flow::serialize_request(
-    const steering::worker& worker) const
+std::string request_flow::serialize_head(const steering::worker& worker) const
 {
     const auto& fields = context_.fields;
     std::string bytes;
-    bytes.reserve(512 + request_.body.size());
+    bytes.reserve(512);
     bytes += request_.method;
     bytes += ' ';
     bytes += request_.target;
@@ -246,13 +239,12 @@
         std::max<std::int64_t>(base::to_milliseconds(time_left()), 1);
     bytes += fmt::format("{}: {}\r\n", fields.deadline, time);
     bytes += fmt::format("{}: {}\r\n", fields.target_worker, worker.entry().id);
-    if (!request_.body.empty() || request_.method == "POST" ||
+    if (!body_->empty() || request_.method == "POST" ||
         request_.method == "PUT")
     {
-        bytes += fmt::format("Content-Length: {}\r\n", request_.body.size());
+        bytes += fmt::format("Content-Length: {}\r\n", body_->size());
     }
     bytes += "\r\n";
-    bytes += request_.body;
     return bytes;
 }
 
@@ -265,10 +257,11 @@
     connection_ = context_.pool.acquire(
         entry.id, entry.address, !route_->idempotent, attempt_started_at_);
     connection_->exchange(
-        serialize_request(*worker),
-        context_.fields.attempt_id,
-        attempt_id_,
-        request_.method == "HEAD",
+        {.head = serialize_head(*worker),
+         .body = body_,
+         .id_field = context_.fields.attempt_id,
+         .id = attempt_id_,
+         .head_request = request_.method == "HEAD"},
         [self = shared_from_this(), worker](exchange_outcome outcome)
         { self->attempt_ended(worker, std::move(outcome)); });
 }
@@ -321,6 +314,7 @@
 {
     const auto now = base::monotonic_clock::now();
     auto& answer = outcome.answer;
+    answer_bytes_ = std::move(outcome.answer_bytes);
     record_load(*worker, answer);
     if (answer.status == status_misdirected)
     {
@@ -553,10 +547,7 @@
     }
     if (not_run && answer.status >= status_server_error)
     {
-        const double after =
-            retry_after_s + retry_after_jitter_s * jitter_of(attempt_id_);
-        net::set_field(
-            answer.fields, "Retry-After", fmt::format("{:.3f}", after));
+        set_retry_after(answer, attempt_id_);
     }
     finish(std::move(answer), not_run ? "not_run" : "unknown");
 }
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -13,6 +13,7 @@
 
 #include "base/time.hpp"
 #include "decision/steering/configuration.hpp"
+#include "front/body_memory.hpp"
 #include "front/fleet_view.hpp"
 #include "front/header_names.hpp"
 #include "front/request_metrics.hpp"
@@ -31,6 +32,7 @@
     header_names fields;
     fleet_view& view;
     upstream_pool& pool;
+    body_memory& memory;
     request_metrics& counts;
 };
 
@@ -40,7 +42,11 @@
 public:
     using responder = std::function<void(net::http_response)>;
 
-    request_flow(serving_context& context, net::http_request request);
+    // `body_bytes` holds the memory of the request's body.
+    request_flow(
+        serving_context& context,
+        net::http_request request,
+        limits::byte_hold body_bytes);
     ~request_flow();
     request_flow(const request_flow&) = delete;
     request_flow& operator=(const request_flow&) = delete;
@@ -71,7 +77,7 @@
     bool admit();
     void begin_attempt();
     void send_to(const fleet_view::worker_ptr& worker);
-    std::string serialize_request(const steering::worker& worker) const;
+    std::string serialize_head(const steering::worker& worker) const;
     void attempt_ended(
         const fleet_view::worker_ptr& worker, exchange_outcome outcome);
     void handle_answer(
@@ -95,7 +101,11 @@
     void log_end(std::string_view end, unsigned status) const;
 
     serving_context& context_;
+    // Its body is in `body_`.
     net::http_request request_;
+    // Shared with the connections that send it.
+    std::shared_ptr<const std::string> body_;
+    limits::byte_hold body_bytes_;
     std::string attempt_id_;
     std::string object_;
     std::string service_;
@@ -118,6 +128,8 @@
     std::optional<base::error> refusal_reason_{};
     // Unsuccessful answer of a worker, passed on if no retry succeeds.
     std::optional<net::http_response> last_answer_;
+    // Memory of the newest answer.
+    limits::byte_hold answer_bytes_;
     bool caller_gone_{false};
     bool done_{false};
 };
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -24,6 +24,13 @@
         value);
 }
 
+void add_body_bytes(
+    std::string& text, std::string_view kind, const limits::byte_budget& budget)
+{
+    text += fmt::format(
+        "waxwingvalve_body_bytes{{of=\"{}\"}} {}\n", kind, budget.used());
+}
+
 } // namespace
 
 void latency_histogram::add(base::duration latency)
@@ -61,7 +68,8 @@
     return lines;
 }
 
-std::string metrics_text(const request_metrics& counts)
+std::string metrics_text(
+    const request_metrics& counts, const body_memory& memory)
 {
     std::string text;
     add_counter(text, "requests_total", "Requests read.", counts.requests);
@@ -85,6 +93,15 @@
         text += fmt::format(
             "waxwingvalve_request_ends_total{{end=\"{}\"}} {}\n", end, count);
     }
+    text += "# HELP waxwingvalve_body_bytes Buffered bytes of bodies.\n"
+            "# TYPE waxwingvalve_body_bytes gauge\n";
+    add_body_bytes(text, "request", memory.requests);
+    add_body_bytes(text, "answer", memory.answers);
+    add_counter(
+        text,
+        "bodies_refused_total",
+        "Bodies for which there was no memory.",
+        memory.requests.refusals() + memory.answers.refusals());
     text += counts.answer_latency.text(
         "answer_seconds", "From a request's last byte to its answer.");
     return text;
--- a/packages/front/request_metrics.hpp
+++ b/packages/front/request_metrics.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/time.hpp"
+#include "front/body_memory.hpp"
 
 namespace waxwingvalve::front
 {
@@ -55,6 +56,7 @@
 };
 
 // Formats all metrics as Prometheus text.
-std::string metrics_text(const request_metrics& counts);
+std::string metrics_text(
+    const request_metrics& counts, const body_memory& memory);
 
 } // namespace waxwingvalve::front
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -27,7 +28,6 @@
 namespace
 {
 
-constexpr std::uint64_t max_answer_body_bytes = 64ULL * 1024 * 1024;
 constexpr std::uint32_t max_answer_head_bytes = 64 * 1024;
 constexpr unsigned min_final_status = 200;
 // Limit on discarded answers to earlier requests before the connection is
@@ -77,8 +77,12 @@
 
 struct upstream_connection::state
 {
-    state(asio::io_context& context, base::endpoint address)
-        : worker_address{std::move(address)}, socket{context}, timer{context}
+    state(
+        asio::io_context& context,
+        base::endpoint address,
+        decision::limits::byte_budget& memory)
+        : worker_address{std::move(address)}, socket{context}, timer{context},
+          answer_memory{memory}, answer_bytes{memory}
     {
     }
 
@@ -87,14 +91,14 @@
     asio::steady_timer timer;
     beast::flat_buffer buffer;
     std::optional<answer_parser> parser;
-    std::string request_bytes;
-    std::string id_field;
-    std::string id;
+    upstream_request request;
+    decision::limits::byte_budget& answer_memory;
+    // Memory of the answer that is being read.
+    decision::limits::byte_hold answer_bytes;
     exchange_handler handler;
     idle_handler idle;
     bool connected{false};
     bool closed{false};
-    bool head_request{false};
     bool sending{false};
     bool used_before{false};
     bool reused{false};
@@ -111,6 +115,8 @@
     void read(const std::shared_ptr<upstream_connection>& self);
     void parse(const std::shared_ptr<upstream_connection>& self);
     void reset_parser();
+    bool reserve_answer_memory();
+    void fail_answer(std::string detail);
     void finish_answer(const std::shared_ptr<upstream_connection>& self);
     void handle_read_error(
         const std::shared_ptr<upstream_connection>& self,
@@ -120,8 +126,11 @@
 };
 
 upstream_connection::upstream_connection(
-    asio::io_context& context, base::endpoint worker_address)
-    : state_{std::make_unique<state>(context, std::move(worker_address))}
+    asio::io_context& context,
+    base::endpoint worker_address,
+    decision::limits::byte_budget& answer_memory)
+    : state_{std::make_unique<state>(
+          context, std::move(worker_address), answer_memory)}
 {
 }
 
@@ -133,17 +142,10 @@
 }
 
 void upstream_connection::exchange(
-    std::string bytes,
-    std::string id_field,
-    std::string id,
-    bool head_request,
-    exchange_handler handler)
+    upstream_request request, exchange_handler handler)
 {
     auto& s = *state_;
-    s.request_bytes = std::move(bytes);
-    s.id_field = std::move(id_field);
-    s.id = std::move(id);
-    s.head_request = head_request;
+    s.request = std::move(request);
     s.handler = std::move(handler);
     s.reused = s.used_before;
     s.answer_started = false;
@@ -235,10 +237,13 @@
         return;
     }
     sending = true;
+    const std::array<asio::const_buffer, 2> buffers{
+        asio::buffer(request.head), asio::buffer(*request.body)};
+    // The body is shared with a request that may end before the write does.
     asio::async_write(
         socket,
-        asio::buffer(request_bytes),
-        [self](const beast::error_code&, std::size_t)
+        buffers,
+        [self, body = request.body](const beast::error_code&, std::size_t)
         {
             // Errors are handled by the read, which also delivers an answer
             // that the worker may have sent before it closed.
@@ -250,9 +255,33 @@
 {
     parser.emplace();
     parser->eager(true);
-    parser->body_limit(max_answer_body_bytes);
+    // The parser allocates a stated length at once.
+    parser->body_limit(answer_memory.limit());
     parser->header_limit(max_answer_head_bytes);
-    parser->skip(head_request);
+    parser->skip(request.head_request);
+    answer_bytes.release();
+}
+
+// Returns false if the answer takes more memory than there is. A length that
+// the worker states counts at once, a body without length as it comes.
+bool upstream_connection::state::reserve_answer_memory()
+{
+    if (!parser->is_header_done())
+    {
+        return true;
+    }
+    const std::uint64_t received = parser->get().body().size();
+    const auto stated = request.head_request ? boost::optional<std::uint64_t>{}
+                                             : parser->content_length();
+    return answer_bytes.try_grow(std::max(received, stated.value_or(0)));
+}
+
+void upstream_connection::state::fail_answer(std::string detail)
+{
+    close();
+    parser.reset();
+    answer_bytes.release();
+    report({exchange_status::invalid_answer, {}, reused, std::move(detail)});
 }
 
 void upstream_connection::state::read(
@@ -303,12 +332,12 @@
         }
         if (failure)
         {
-            close();
-            report(
-                {exchange_status::invalid_answer,
-                 {},
-                 reused,
-                 failure.message()});
+            fail_answer(failure.message());
+            return;
+        }
+        if (!reserve_answer_memory())
+        {
+            fail_answer("no memory for the answer");
             return;
         }
         if (!parser->is_done())
@@ -332,31 +361,21 @@
     {
         if (message.result() == http::status::switching_protocols)
         {
-            close();
-            report(
-                {exchange_status::invalid_answer,
-                 {},
-                 reused,
-                 "switching protocols"});
+            fail_answer("switching protocols");
             return;
         }
         reset_parser();
         return;
     }
-    const std::string echoed{message[id_field]};
-    if (!id.empty() && !echoed.empty() && echoed != id)
+    const std::string echoed{message[request.id_field]};
+    if (!request.id.empty() && !echoed.empty() && echoed != request.id)
     {
         // An answer to an earlier request; the expected one may still follow.
         stale_answer_seen = true;
         ++stale_answers;
         if (!keep_open || stale_answers > max_stale_answers)
         {
-            close();
-            report(
-                {exchange_status::invalid_answer,
-                 {},
-                 reused,
-                 "answer to another request"});
+            fail_answer("answer to another request");
             return;
         }
         reset_parser();
@@ -371,7 +390,11 @@
     const bool reusable =
         keep_open && !stale_answer_seen && !sending && buffer.size() == 0;
     exchange_outcome outcome{
-        exchange_status::answered, to_response(std::move(message)), reused, {}};
+        .status = exchange_status::answered,
+        .answer = to_response(std::move(message)),
+        .reused = reused,
+        .answer_bytes = std::exchange(
+            answer_bytes, decision::limits::byte_hold{answer_memory})};
     if (!reusable)
     {
         close();
--- a/packages/front/upstream_connection.hpp
+++ b/packages/front/upstream_connection.hpp
@@ -16,6 +16,7 @@
 
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
+#include "decision/limits/byte_budget.hpp"
 #include "net/http_message.hpp"
 
 namespace waxwingvalve::front
@@ -34,6 +35,20 @@
     invalid_answer,
 };
 
+// A request as it is written to a worker.
+struct upstream_request
+{
+    // Request line and header fields, with the empty line that ends them.
+    std::string head{};
+    std::shared_ptr<const std::string> body{};
+    // An answer whose header `id_field` differs from `id` belongs to an earlier
+    // request and is discarded.
+    std::string id_field{};
+    std::string id{};
+    // The answer has no body.
+    bool head_request{};
+};
+
 // Result of one exchange.
 struct exchange_outcome
 {
@@ -43,6 +58,8 @@
     bool reused{};
     // Error description; empty when answered.
     std::string detail{};
+    // Memory of the answer's body.
+    decision::limits::byte_hold answer_bytes{};
 };
 
 // A persistent connection to one worker.
@@ -60,8 +77,12 @@
     static constexpr std::chrono::milliseconds unacknowledged_timeout{700};
     static constexpr std::chrono::milliseconds connect_timeout{500};
 
+    // The body of an answer is taken from `answer_memory`; an answer for which
+    // it has no room is invalid.
     upstream_connection(
-        boost::asio::io_context& context, base::endpoint worker_address);
+        boost::asio::io_context& context,
+        base::endpoint worker_address,
+        decision::limits::byte_budget& answer_memory);
     ~upstream_connection();
     upstream_connection(const upstream_connection&) = delete;
     upstream_connection& operator=(const upstream_connection&) = delete;
@@ -69,15 +90,8 @@
     // Sets the handler called when the connection can carry the next request.
     void on_idle(idle_handler handler);
 
-    // Connects if needed, sends `bytes` and calls `handler` once. An answer
-    // whose header `id_field` differs from `id` belongs to an earlier request
-    // and is discarded.
-    void exchange(
-        std::string bytes,
-        std::string id_field,
-        std::string id,
-        bool head_request,
-        exchange_handler handler);
+    // Connects if needed, sends the request and calls `handler` once.
+    void exchange(upstream_request request, exchange_handler handler);
 
     // Closes the connection without calling the handler.
     void abandon();
--- a/packages/front/upstream_pool.cpp
+++ b/packages/front/upstream_pool.cpp
@@ -50,7 +50,8 @@
         }
         candidate->abandon();
     }
-    auto connection = std::make_shared<upstream_connection>(context_, address);
+    auto connection = std::make_shared<upstream_connection>(
+        context_, address, answer_memory_);
     connection->on_idle([this, key](const connection_ptr& idle)
                         { idle_[key].push_back(idle); });
     return connection;
--- a/packages/front/upstream_pool.hpp
+++ b/packages/front/upstream_pool.hpp
@@ -27,7 +27,11 @@
     static constexpr base::duration max_idle_non_idempotent{
         std::chrono::milliseconds{1500}};
 
-    explicit upstream_pool(boost::asio::io_context& context) : context_{context}
+    // Bodies of answers are taken from `answer_memory`.
+    upstream_pool(
+        boost::asio::io_context& context,
+        decision::limits::byte_budget& answer_memory)
+        : context_{context}, answer_memory_{answer_memory}
     {
     }
 
@@ -56,6 +60,7 @@
         base::instant now) const;
 
     boost::asio::io_context& context_;
+    decision::limits::byte_budget& answer_memory_;
     // Ordered by last use, most recent last.
     std::map<std::string, std::vector<connection_ptr>> idle_;
 };
--- a/packages/schema/front_settings.cpp
+++ b/packages/schema/front_settings.cpp
@@ -19,6 +19,7 @@
 using base::result_code;
 
 constexpr std::uint32_t known_schema_version = 1;
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 
 auto invalid(
     std::string_view path, std::string_view expected, std::string_view found)
@@ -124,6 +125,7 @@
     out.retry_ratio = in.retry_ratio;
     out.retry_allowance = in.retry_allowance;
     out.region_step = in.region_step;
+    out.body_memory_bytes = std::uint64_t{in.body_memory_mb} * bytes_per_mb;
     return base::success();
 }
 
--- a/tests/front/caller_connection_test.cpp
+++ b/tests/front/caller_connection_test.cpp
@@ -197,6 +197,7 @@
         front.serving.fields,
         unconfigured,
         front.pool,
+        front.memory,
         front.counts};
     front::front_server server{serving};
     boost::asio::ip::tcp::acceptor probe{
--- a/tests/front/front_fixture.cpp
+++ b/tests/front/front_fixture.cpp
@@ -209,10 +209,13 @@
                     placeholder.size(),
                     header_value(client->head, "Attempt-Id"));
             }
-            error_code ignored;
-            asio::write(client->socket, asio::buffer(text), ignored);
             client->busy = text.empty() && !reply.close && !reply.reset;
-            end_connection(client, reply);
+            const auto bytes = std::make_shared<std::string>(std::move(text));
+            asio::async_write(
+                client->socket,
+                asio::buffer(*bytes),
+                [this, client, reply, bytes](const error_code&, std::size_t)
+                { end_connection(client, reply); });
         });
 }
 
@@ -236,7 +239,7 @@
 
 front_fixture::front_fixture()
     : view{make_options(), make_self(), {{"addis-a", "addis"}}, 1},
-      serving{loop, test_fields(), view, pool, counts},
+      serving{loop, test_fields(), view, pool, memory, counts},
       server{std::make_unique<front::front_server>(serving)}
 {
     view.adopt(make_configuration());
@@ -274,7 +277,9 @@
 {
     tcp::socket socket{loop};
     socket.connect({asio::ip::make_address(address.address), address.port});
-    asio::write(socket, asio::buffer(bytes));
+    // The daemon may answer and close before it has read everything.
+    asio::async_write(
+        socket, asio::buffer(bytes), [](const error_code&, std::size_t) {});
     std::string response;
     bool ended = false;
     asio::async_read(
--- a/tests/front/front_fixture.hpp
+++ b/tests/front/front_fixture.hpp
@@ -80,6 +80,8 @@
 class front_fixture
 {
 public:
+    static constexpr std::uint64_t body_memory_bytes = 256 * 1024;
+
     front_fixture();
     ~front_fixture();
 
@@ -100,7 +102,8 @@
 
     boost::asio::io_context loop;
     front::fleet_view view;
-    front::upstream_pool pool{loop};
+    front::body_memory memory{body_memory_bytes};
+    front::upstream_pool pool{loop, memory.answers};
     front::request_metrics counts;
     front::serving_context serving;
     std::unique_ptr<front::front_server> server;
--- a/tests/front/request_metrics_test.cpp
+++ b/tests/front/request_metrics_test.cpp
@@ -28,7 +28,7 @@
     front::request_metrics counts;
     counts.requests = 7;
     counts.ends["not_run"] = 2;
-    const auto text = front::metrics_text(counts);
+    const auto text = front::metrics_text(counts, front::body_memory{1'000});
     BOOST_TEST(text.find("waxwingvalve_requests_total 7") != std::string::npos);
     BOOST_TEST(
         text.find("request_ends_total{end=\"not_run\"} 2") !=
--- a/tests/platform/lookups_test.cpp
+++ b/tests/platform/lookups_test.cpp
@@ -63,9 +63,10 @@
         {{"addis-a", "addis"}, {"addis-b", "addis"}, {"harar-a", "harar"}},
         1};
     front::request_metrics metrics;
+    front::body_memory memory{1'000};
     platform::store_watch watch{loop, {"127.0.0.1", 9}, view, metrics};
     bool leaving{false};
-    platform::lookup_context context{view, watch, metrics, 2s, leaving};
+    platform::lookup_context context{view, watch, metrics, memory, 2s, leaving};
 };
 
 bool contains(const std::string& text, std::string_view substring)
