Steering: a split holds in a large fleet and follows changed weights at once

Cause: every daemon began its round at the same place, so 740 daemons with 4 requests each gave a part of weight 10 in 100 nothing. Credits stayed when the weights changed: after one request at 50 to 50, the next at 1 to 0 went to the part of weight 0.

--- a/packages/decision/steering/configuration.hpp
+++ b/packages/decision/steering/configuration.hpp
@@ -16,6 +16,8 @@
     std::string service{};
     // Weight of this part relative to the route's other parts.
     std::uint32_t weight{};
+
+    friend bool operator==(const split_part&, const split_part&) = default;
 };
 
 // Invariant: `prefix` begins and ends with '/', and `parts` is not empty.
--- a/tests/decision/steering/configuration_test.cpp
+++ b/tests/decision/steering/configuration_test.cpp
@@ -53,7 +53,7 @@
 {
     auto split = make_route("split", "a.example", "/x/");
     split.parts = {{"old", 90}, {"new", 10}};
-    split_picker picker;
+    split_picker picker{1};
     std::map<std::string, int> counts;
     for (int i = 0; i < 50; ++i)
     {
@@ -67,11 +67,68 @@
 {
     auto split = make_route("split", "a.example", "/x/");
     split.parts = {{"old", 0}, {"new", 3}};
-    split_picker picker;
+    split_picker picker{1};
     for (int i = 0; i < 10; ++i)
     {
         BOOST_TEST(picker.next(split) == "new");
     }
 }
 
+// Pattern: a large fleet, in which each daemon sees a few requests.
+BOOST_AUTO_TEST_CASE(a_split_holds_over_many_daemons_with_few_requests)
+{
+    auto split = make_route("split", "a.example", "/x/");
+    split.parts = {{"old", 90}, {"new", 10}};
+    constexpr std::uint64_t daemons = 740;
+    constexpr int requests_each = 4;
+    std::map<std::string, int> counts;
+    for (std::uint64_t daemon = 0; daemon < daemons; ++daemon)
+    {
+        split_picker picker{daemon};
+        for (int i = 0; i < requests_each; ++i)
+        {
+            ++counts[picker.next(split)];
+        }
+    }
+    const double share = counts["new"] / double{daemons * requests_each};
+    BOOST_TEST(share > 0.08);
+    BOOST_TEST(share < 0.12);
+}
+
+BOOST_AUTO_TEST_CASE(a_part_whose_weight_becomes_zero_gets_nothing_at_once)
+{
+    auto split = make_route("split", "a.example", "/x/");
+    for (std::uint64_t seed = 0; seed < 50; ++seed)
+    {
+        split.parts = {{"old", 50}, {"new", 50}};
+        split_picker picker{seed};
+        static_cast<void>(picker.next(split));
+        for (const auto drained : {0U, 1U})
+        {
+            split.parts = {{"old", 1}, {"new", 1}};
+            split.parts[drained].weight = 0;
+            BOOST_TEST(picker.next(split) != split.parts[drained].service);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(weights_that_change_hold_from_the_next_request)
+{
+    auto split = make_route("split", "a.example", "/x/");
+    split_picker picker{1};
+    split.parts = {{"old", 90}, {"new", 10}};
+    for (int i = 0; i < 7; ++i)
+    {
+        static_cast<void>(picker.next(split));
+    }
+    split.parts = {{"old", 10}, {"new", 90}};
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 50; ++i)
+    {
+        ++counts[picker.next(split)];
+    }
+    BOOST_TEST(counts["old"] == 5);
+    BOOST_TEST(counts["new"] == 45);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
