--- a/tests/front/front_fixture.cpp
+++ b/tests/front/front_fixture.cpp
@@ -52,6 +52,9 @@
     configuration.routes = {
         make_route("lookups", "/safe/", true),
         make_route("filings", "/unsafe/", false)};
+    auto split = make_route("split", "/split/", true);
+    split.parts = {{"desk", 1}, {"without_workers", 1}};
+    configuration.routes.push_back(std::move(split));
     configuration.services["desk"] = {.name = "desk"};
     configuration.limits.head_bytes = 4'096;
     configuration.limits.body_bytes = 64 * 1'024;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -121,6 +121,23 @@
     BOOST_TEST(configuration.limits.body_bytes == 100U);
 }
 
+// A later kind of route may not be repeatable.
+BOOST_AUTO_TEST_CASE(only_safe_routes_are_idempotent)
+{
+    for (const auto* kind : {"unsafe", "upload", "stream", "Safe", ""})
+    {
+        std::string text{valid_configuration};
+        const std::string_view safe{R"("kind":"safe")"};
+        text.replace(
+            text.find(safe),
+            safe.size(),
+            std::string{R"("kind":")"} + kind + '"');
+        const auto parsed = platform::parse_configuration(text);
+        BOOST_REQUIRE(parsed.has_value());
+        BOOST_TEST(!parsed.value().routes[0].idempotent);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_configurations_are_rejected)
 {
     BOOST_TEST(!platform::parse_configuration(R"({"resources":[]})"));
