--- a/tests/decision/steering/crash_tracker_test.cpp
+++ b/tests/decision/steering/crash_tracker_test.cpp
@@ -11,7 +11,6 @@
 using namespace std::chrono_literals;
 using namespace waxwingvalve::decision::steering;
 using waxwingvalve::base::instant;
-namespace schema = waxwingvalve::schema;
 
 constexpr std::uint64_t suspicious_request = 17;
 
