--- a/packages/schema/front_settings.cpp
+++ b/packages/schema/front_settings.cpp
@@ -65,7 +65,11 @@
     {
         return base::log_level::warning;
     }
-    return invalid(path, "debug, info or warning", text);
+    if (text == "error")
+    {
+        return base::log_level::error;
+    }
+    return invalid(path, "debug, info, warning or error", text);
 }
 
 result<void> read_addresses(
