--- a/tests/platform/lookups_test.cpp
+++ b/tests/platform/lookups_test.cpp
@@ -135,4 +135,13 @@
         "waxwingvalve_requests_total 0"));
 }
 
+BOOST_AUTO_TEST_CASE(rows_after_an_unreadable_version_are_refused)
+{
+    const lookup_fixture fixture;
+    net::http_request request;
+    request.target = "/v1/rows?table=servers&after=-1";
+    BOOST_TEST(
+        platform::handle_control(fixture.context, request).status == 400U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
