--- /dev/null
+++ b/packages/front/request_fields.hpp
@@ -0,0 +1,30 @@
+// Reads values from the header fields of requests and answers.
+#pragma once
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "decision/steering/worker_table.hpp"
+#include "net/http_message.hpp"
+
+namespace waxwingvalve::front
+{
+
+// The value of the field, or an empty text.
+std::string_view header_value(
+    std::span<const net::header_field> fields, std::string_view name);
+
+// The value of the named cookie in a Cookie field (RFC 6265, section 4.2), or
+// an empty text.
+std::string cookie_value(std::string_view cookies, std::string_view name);
+
+// The host that the request names, without its port.
+std::string_view host_of(const net::http_request& request);
+
+// Parses "running,waiting,slots"; nothing if the text is anything else.
+std::optional<decision::steering::load_report> parse_load(
+    std::string_view text);
+
+} // namespace waxwingvalve::front
