--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -129,7 +129,7 @@
             }
             if (failure)
             {
-                self->handle_disconnect();
+                self->handle_disconnect(failure.message());
                 return;
             }
             self->buffer_.commit(size);
@@ -380,7 +380,7 @@
             }
             if (failure)
             {
-                self->handle_disconnect();
+                self->handle_disconnect(failure.message());
                 return;
             }
             if (!self->output_.empty())
@@ -395,8 +395,29 @@
         });
 }
 
-void client_session::handle_disconnect()
+// The only trace of requests that end without an answer.
+void client_session::log_unanswered(std::string_view reason) const
 {
+    if (pending_.empty())
+    {
+        return;
+    }
+    base::log_event(
+        base::log_level::info,
+        base::log_channel::serving,
+        "connection_closed",
+        "reason",
+        reason,
+        "unanswered",
+        pending_.size(),
+        "first",
+        pending_.front()->flow ? pending_.front()->flow->attempt_id()
+                               : std::string_view{});
+}
+
+void client_session::handle_disconnect(std::string_view reason)
+{
+    log_unanswered(reason);
     for (const auto& pending : pending_)
     {
         if (pending->flow)
@@ -437,12 +458,13 @@
     const auto& limits = context_.view.configuration().limits;
     if (linger_started_at_ && now - *linger_started_at_ > linger_timeout)
     {
+        log_unanswered("closing took too long");
         close();
         return;
     }
     if (write_started_at_ && now - *write_started_at_ > write_timeout)
     {
-        handle_disconnect();
+        handle_disconnect("the caller does not read its answer");
         return;
     }
     if (request_started_at_ && !head_parsed_ &&
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -87,7 +87,9 @@
     void send_finished_answers();
     void write();
     void write_continue();
-    void handle_disconnect();
+    // Cancels what is pending and closes the connection.
+    void handle_disconnect(std::string_view reason);
+    void log_unanswered(std::string_view reason) const;
     void linger();
     void close();
     bool may_read_more() const;
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -51,6 +51,8 @@
     request_flow(const request_flow&) = delete;
     request_flow& operator=(const request_flow&) = delete;
 
+    std::string_view attempt_id() const { return attempt_id_; }
+
     // True for idempotent routes, and also when the request has no route (or no
     // configuration is known): it is then answered without being sent, so it
     // may start at any time.
