--- a/tests/stand_ins/link/relay.cpp
+++ b/tests/stand_ins/link/relay.cpp
@@ -41,6 +41,8 @@
     explicit lane(asio::io_context& context) : wake{context} {}
 
     std::deque<chunk> waiting;
+    // When the last bytes that were accepted have left.
+    base::instant busy_until{};
     asio::steady_timer wake;
 };
 
@@ -132,7 +134,10 @@
 
     void push(lane& to, std::string bytes)
     {
-        auto due = base::monotonic_clock::now() + owner_.next_delay();
+        const auto now = base::monotonic_clock::now();
+        to.busy_until =
+            std::max(to.busy_until, now) + owner_.sending_time(bytes.size());
+        auto due = to.busy_until + owner_.next_delay();
         if (!to.waiting.empty())
         {
             // Bytes of one connection stay in their order.
@@ -196,6 +201,17 @@
 
 relay::~relay() = default;
 
+std::chrono::microseconds relay::sending_time(std::size_t bytes) const
+{
+    constexpr std::int64_t us_per_s = 1'000'000;
+    if (faults_.bytes_per_s == 0)
+    {
+        return {};
+    }
+    return std::chrono::microseconds{
+        static_cast<std::int64_t>(bytes) * us_per_s / faults_.bytes_per_s};
+}
+
 std::chrono::microseconds relay::next_delay()
 {
     auto delay = faults_.delay_us;
--- a/tests/stand_ins/link/relay.hpp
+++ b/tests/stand_ins/link/relay.hpp
@@ -22,6 +22,8 @@
     // One-way delay, and how much more there is at random.
     std::int64_t delay_us{0};
     std::int64_t jitter_us{0};
+    // Rate of each direction of each connection; 0 without a limit.
+    std::int64_t bytes_per_s{0};
     // Closes each connection after so many bytes from the target; 0 never.
     std::int64_t cut_after_bytes{0};
     // New connections are accepted and nothing on them is forwarded.
@@ -57,6 +59,7 @@
 
     boost::asio::awaitable<void> accept_loop();
     std::chrono::microseconds next_delay();
+    std::chrono::microseconds sending_time(std::size_t bytes) const;
 
     boost::asio::io_context& context_;
     base::endpoint listen_;
