--- a/packages/decision/limits/byte_budget.cpp
+++ b/packages/decision/limits/byte_budget.cpp
@@ -5,7 +5,8 @@
 
 bool byte_budget::try_take(std::uint64_t bytes)
 {
-    if (used_ + bytes > limit_)
+    // A stated length can be as large as the type allows.
+    if (bytes > limit_ || used_ > limit_ - bytes)
     {
         ++refusals_;
         return false;
--- a/packages/decision/steering/crash_gossip.hpp
+++ b/packages/decision/steering/crash_gossip.hpp
@@ -7,7 +7,6 @@
 #include <optional>
 #include <random>
 #include <set>
-#include <span>
 #include <vector>
 
 #include "base/time.hpp"
--- a/tests/decision/limits/byte_budget_test.cpp
+++ b/tests/decision/limits/byte_budget_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include "decision/limits/byte_budget.hpp"
@@ -68,6 +69,16 @@
     BOOST_TEST(budget.used() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(the_largest_length_is_refused)
+{
+    byte_budget budget{100};
+    byte_hold first{budget};
+    BOOST_TEST(first.try_grow(60));
+    byte_hold second{budget};
+    BOOST_TEST(!second.try_grow(std::numeric_limits<std::uint64_t>::max()));
+    BOOST_TEST(budget.used() == 60U);
+}
+
 BOOST_AUTO_TEST_CASE(a_moved_hold_gives_back_once)
 {
     byte_budget budget{100};
--- a/tests/decision/steering/crash_tracker_test.cpp
+++ b/tests/decision/steering/crash_tracker_test.cpp
@@ -25,7 +25,7 @@
         .ended_at = ended_at};
 }
 
-// Three crashes of as many workers, one after the other.
+// A tracker that recorded crashes of `count` workers, one after the other.
 crash_tracker tracker_after_crashes(instant begin, std::uint64_t count)
 {
     crash_tracker tracker;
