Steering tests: crashes that other daemons report count, as before

The case was lost when the tracker's tests were rewritten: two reported crashes and an own one make a request poisonous, now through the gossip.

--- a/tests/decision/steering/crash_tracker_test.cpp
+++ b/tests/decision/steering/crash_tracker_test.cpp
@@ -83,6 +83,25 @@
     BOOST_TEST(!tracker.is_poisonous(suspicious_request));
 }
 
+BOOST_AUTO_TEST_CASE(crashes_counted_by_other_daemons_count)
+{
+    crash_gossip sender{1};
+    crash_gossip receiver{2};
+    crash_tracker tracker;
+    const instant now{1h};
+    sender.publish(crash_of(1, now, now + 100ms));
+    sender.publish(crash_of(2, now + 1s, now + 2s));
+    for (const auto& event : sender.next_round(now + 2s).crashes)
+    {
+        const auto crash = receiver.receive(event, now + 2s);
+        BOOST_REQUIRE(crash.has_value());
+        BOOST_TEST(tracker.record_crash(*crash));
+    }
+    BOOST_TEST(!tracker.is_poisonous(suspicious_request));
+    BOOST_TEST(tracker.record_crash(crash_of(3, now + 2s, now + 3s)));
+    BOOST_TEST(tracker.is_poisonous(suspicious_request));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_clears_a_request)
 {
     const instant begin{1h};
