Front: log the region of the worker and the configuration that placed a request

Needed to tell whether a request that ran outside of its home regions followed the configuration at its reading (configuration < placed_by) or a daemon whose configuration is old (both old).

--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -206,6 +206,8 @@
     worker_ = worker;
     const auto& entry = worker->entry();
     tried_workers_.push_back(entry.id);
+    worker_region_ = context_.view.region_of(entry.zone);
+    placement_version_ = context_.view.configuration().version;
     attempt_started_at_ = base::monotonic_clock::now();
     connection_ = context_.pool.acquire(
         entry.id, entry.address, !route_->idempotent, attempt_started_at_);
@@ -564,6 +566,8 @@
         object_,
         "worker",
         tried_workers_.empty() ? std::string{} : tried_workers_.back(),
+        "worker_region",
+        worker_region_,
         "sends",
         sends_,
         "end",
@@ -575,7 +579,9 @@
         "took_ms",
         base::to_milliseconds(base::monotonic_clock::now() - received_at_),
         "configuration",
-        configuration_version_);
+        configuration_version_,
+        "placed_by",
+        placement_version_);
 }
 
 } // namespace waxwingvalve::front
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -113,7 +113,10 @@
     std::string service_;
     // A copy, because the configuration may be replaced while the request runs.
     std::optional<steering::route> route_;
+    // Versions that were current when the request was read and when its newest
+    // attempt was placed; 0 before there was one.
     std::uint64_t configuration_version_{};
+    std::uint64_t placement_version_{};
     std::uint64_t digest_{};
     base::instant received_at_;
     base::instant deadline_;
@@ -123,6 +126,8 @@
     std::shared_ptr<upstream_connection> connection_;
     fleet_view::worker_ptr worker_;
     std::vector<std::string> tried_workers_;
+    // Region of the newest attempt's worker.
+    std::string worker_region_;
     std::uint32_t sends_{0};
     std::uint32_t connect_failures_{0};
     execution_state execution_{execution_state::not_run};
