Front: a request runs where the homes of the newest configuration allow it

Cause: a request copied its route when it was read, and every later attempt followed the home regions of that copy: after a failed or refused attempt, after up to three connections that take 500 ms each to fail, behind others on its connection. Its timeout is up to 6 s, a configuration is in force after 3. The class is a decision that is taken once and used later, while what it rests on changes.

Change: each attempt takes the home regions from the configuration in force, and they are asked again when a new connection is open, together with draining and evacuated zones. A request that is no longer allowed there is withdrawn, which has sent nothing, and placed anew.

--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -351,6 +351,14 @@
     return homes.empty() || std::ranges::find(homes, region) != homes.end();
 }
 
+bool fleet_view::may_send(
+    const steering::worker& worker, const steering::route& route) const
+{
+    const auto& entry = worker.entry();
+    return !entry.draining && !evacuated_zones_.contains(entry.zone) &&
+           home_region_allows(route, region_of(entry.zone));
+}
+
 std::vector<steering::worker_candidate> fleet_view::candidates(
     std::span<const worker_ptr* const> workers,
     const placement_request& request,
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -103,6 +103,11 @@
     base::result<worker_ptr> place(
         const placement_request& request, base::instant now);
 
+    // Whether a request that was placed at the worker may still be sent there:
+    // a configuration or an evacuation may have come in between.
+    bool may_send(
+        const steering::worker& worker, const steering::route& route) const;
+
     // Records the latency of an answer against the route's target latency.
     void record_latency(
         const std::string& service,
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -62,6 +62,7 @@
     const auto* route = context_.view.routes().find(
         host_of(request_), net::path_of(request_.target));
     configuration_version_ = context_.view.configuration().version;
+    homes_version_ = configuration_version_;
     if (route != nullptr)
     {
         route_ = *route;
@@ -146,8 +147,27 @@
     return deadline_ - base::monotonic_clock::now();
 }
 
+// Requests wait and are sent again, for longer than a new configuration takes
+// to be in force. Where they may run is decided by the newest one.
+void request_flow::adopt_current_homes()
+{
+    const auto& view = context_.view;
+    if (homes_version_ == view.configuration().version)
+    {
+        return;
+    }
+    homes_version_ = view.configuration().version;
+    const auto* current =
+        view.routes().find(host_of(request_), net::path_of(request_.target));
+    if (current != nullptr)
+    {
+        route_->home_regions = current->home_regions;
+    }
+}
+
 void request_flow::begin_attempt()
 {
+    adopt_current_homes();
     const auto now = base::monotonic_clock::now();
     const std::string_view object =
         route_->sticky && !object_.empty() ? object_ : attempt_id_;
@@ -207,7 +227,6 @@
     const auto& entry = worker->entry();
     tried_workers_.push_back(entry.id);
     worker_region_ = context_.view.region_of(entry.zone);
-    placement_version_ = context_.view.configuration().version;
     attempt_started_at_ = base::monotonic_clock::now();
     connection_ = context_.pool.acquire(
         entry.id, entry.address, !route_->idempotent, attempt_started_at_);
@@ -216,7 +235,13 @@
          .body = body_,
          .id_field = context_.fields.attempt_id,
          .id = attempt_id_,
-         .head_request = request_.method == "HEAD"},
+         .head_request = request_.method == "HEAD",
+         .may_send =
+             [this, worker]
+         {
+             adopt_current_homes();
+             return context_.view.may_send(*worker, *route_);
+         }},
         [self = shared_from_this(), worker](exchange_outcome outcome)
         { self->attempt_ended(worker, std::move(outcome)); });
 }
@@ -235,6 +260,21 @@
 {
     release_worker();
     connection_.reset();
+    if (outcome.status == exchange_status::withdrawn)
+    {
+        base::log_event(
+            log_level::info,
+            log_channel::serving,
+            "attempt_withdrawn",
+            "request",
+            attempt_id_,
+            "worker",
+            worker->entry().id,
+            "homes_of",
+            homes_version_);
+        begin_attempt();
+        return;
+    }
     if (outcome.status != exchange_status::not_connected)
     {
         ++sends_;
@@ -580,8 +620,8 @@
         base::to_milliseconds(base::monotonic_clock::now() - received_at_),
         "configuration",
         configuration_version_,
-        "placed_by",
-        placement_version_);
+        "homes_of",
+        homes_version_);
 }
 
 } // namespace waxwingvalve::front
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -77,6 +77,7 @@
     };
 
     bool admit();
+    void adopt_current_homes();
     void begin_attempt();
     void send_to(const fleet_view::worker_ptr& worker);
     std::string serialize_head(const steering::worker& worker) const;
@@ -112,11 +113,12 @@
     std::string object_;
     std::string service_;
     // A copy, because the configuration may be replaced while the request runs.
+    // Its home regions are those of `homes_version_`.
     std::optional<steering::route> route_;
-    // Versions that were current when the request was read and when its newest
-    // attempt was placed; 0 before there was one.
+    // Configuration that was current when the request was read.
     std::uint64_t configuration_version_{};
-    std::uint64_t placement_version_{};
+    // Configuration whose home regions the newest attempt follows.
+    std::uint64_t homes_version_{};
     std::uint64_t digest_{};
     base::instant received_at_;
     base::instant deadline_;
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -112,6 +112,7 @@
 
     void connect(const std::shared_ptr<upstream_connection>& self);
     void send(const std::shared_ptr<upstream_connection>& self);
+    void withdraw(const std::shared_ptr<upstream_connection>& self);
     void read(const std::shared_ptr<upstream_connection>& self);
     void parse(const std::shared_ptr<upstream_connection>& self);
     void reset_parser();
@@ -225,10 +226,25 @@
                 ignored);
             s.connected = true;
             s.read(self);
+            if (s.request.may_send && !s.request.may_send())
+            {
+                s.withdraw(self);
+                return;
+            }
             s.send(self);
         });
 }
 
+void upstream_connection::state::withdraw(
+    const std::shared_ptr<upstream_connection>& self)
+{
+    report({exchange_status::withdrawn, {}, reused, "no longer allowed there"});
+    if (!closed && !handler && idle)
+    {
+        idle(self);
+    }
+}
+
 void upstream_connection::state::send(
     const std::shared_ptr<upstream_connection>& self)
 {
@@ -236,6 +252,7 @@
     {
         return;
     }
+    request.may_send = nullptr;
     sending = true;
     const std::array<asio::const_buffer, 2> buffers{
         asio::buffer(request.head), asio::buffer(*request.body)};
--- a/packages/front/upstream_connection.hpp
+++ b/packages/front/upstream_connection.hpp
@@ -33,6 +33,9 @@
     closed_early,
     // The answer was malformed, truncated or for another request.
     invalid_answer,
+    // The request was no longer allowed there once the connection was open;
+    // nothing was sent.
+    withdrawn,
 };
 
 // A request as it is written to a worker.
@@ -47,6 +50,9 @@
     std::string id{};
     // The answer has no body.
     bool head_request{};
+    // Asked when a new connection is open: whether the request may still be
+    // sent. Always, if there is none.
+    std::function<bool()> may_send{};
 };
 
 // Result of one exchange.
--- a/tests/front/front_fixture.cpp
+++ b/tests/front/front_fixture.cpp
@@ -241,7 +241,7 @@
 }
 
 front_fixture::front_fixture()
-    : view{make_options(), make_self(), {{"addis-a", "addis"}}, 1},
+    : view{make_options(), make_self(), {{"addis-a", "addis"}, {"gondar-a", "gondar"}}, 1},
       serving{loop, test_fields(), view, pool, memory, counts},
       server{std::make_unique<front::front_server>(serving)}
 {
@@ -260,7 +260,9 @@
 front_fixture::~front_fixture() = default;
 
 scripted_worker& front_fixture::add_worker(
-    const std::string& id, scripted_worker::reply_function next_reply)
+    const std::string& id,
+    scripted_worker::reply_function next_reply,
+    const std::string& zone)
 {
     workers_.push_back(
         std::make_unique<scripted_worker>(loop, id, std::move(next_reply)));
@@ -269,12 +271,20 @@
     entry.id = id;
     entry.service = "desk";
     entry.address = worker.address();
-    entry.zone = "addis-a";
+    entry.zone = zone;
     entry.slots = 4;
     view.put_worker(entry, base::monotonic_clock::now());
     return worker;
 }
 
+void front_fixture::move_home(const std::string& region)
+{
+    auto next = view.configuration();
+    ++next.version;
+    next.routes.front().home_regions = {region};
+    view.adopt(std::move(next));
+}
+
 std::string front_fixture::exchange(
     std::string_view bytes, std::chrono::milliseconds time)
 {
--- a/tests/front/front_fixture.hpp
+++ b/tests/front/front_fixture.hpp
@@ -87,7 +87,13 @@
 
     // Adds a worker of the service "desk" and registers it with the daemon.
     scripted_worker& add_worker(
-        const std::string& id, scripted_worker::reply_function next_reply);
+        const std::string& id,
+        scripted_worker::reply_function next_reply,
+        const std::string& zone = "addis-a");
+
+    // Puts a configuration in force that differs from the one before only in
+    // its version and in the home regions of the idempotent route.
+    void move_home(const std::string& region);
 
     // Sends `bytes` on a new connection and returns what is read until the
     // daemon closes it or `time` has passed.
