--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -138,6 +138,26 @@
     }
 }
 
+// Guards against a route that runs in every region, because the entries of its
+// list of home regions could not be read.
+BOOST_AUTO_TEST_CASE(unreadable_home_regions_do_not_allow_every_region)
+{
+    const std::string_view homes{R"("home_regions":["addis"])"};
+    for (const auto* unreadable : {"[7]", R"(["addis",{}])", "[null]"})
+    {
+        std::string text{valid_configuration};
+        text.replace(
+            text.find(homes),
+            homes.size(),
+            std::string{R"("home_regions":)"} + unreadable);
+        const auto parsed = platform::parse_configuration(text);
+        BOOST_REQUIRE(!parsed.has_value());
+        BOOST_TEST(
+            to_string(parsed.error()).find("home_regions") !=
+            std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_configurations_are_rejected)
 {
     BOOST_TEST(!platform::parse_configuration(R"({"resources":[]})"));
