Store: versions are compared within one era of the store only

Cause: the copy in memory, the feed and the passing of rows between daemons all order rows by the store's version alone. A restored store gives versions out again; every daemon's copy stood at version 40 of the lost history, and the new change came as row version 40 as well, so it counted as old. When the restored store has passed that version, the feed even answers as if nothing had happened. The class: a counter is compared across two histories.

Change: a position is an era and a version, ordered in that order. The era of every answer of the store is read (Store-Era). A copy of an era that the store is known to have left is neither passed on nor read on from, and both tables learn of an era from either.

Evidence: with the header ignored, change_after_the_return_is_in_force, change_is_not_missed_when_versions_are_passed_again, second_restore_is_taken_in_like_the_first, copy_of_the_era_before_is_not_passed_on and change_arrives_through_another_daemon fail.

--- a/packages/store/table_mirror.cpp
+++ b/packages/store/table_mirror.cpp
@@ -9,44 +9,78 @@
 {
 
 std::vector<mirrored_row> table_mirror::apply_snapshot(
-    std::vector<mirrored_row> rows, std::uint64_t version)
+    std::vector<mirrored_row> rows, store_position position)
 {
-    if (!loaded())
-    {
-        pruned_version_ = version;
-    }
     // A snapshot from a source that lags must not revert newer rows.
-    if (version < version_)
+    if (position < position_)
     {
         return {};
     }
-    std::vector<mirrored_row> changes;
-    std::set<std::string> present;
-    for (const auto& row : rows)
+    if (!loaded() || position.era != position_.era)
+    {
+        return begin_era(std::move(rows), position);
+    }
+    auto changes = missing_from(rows, position.version);
+    for (auto& row : rows)
+    {
+        const auto known = rows_.find(row.key);
+        if (known == rows_.end() || known->second.version < row.version)
+        {
+            changes.push_back(std::move(row));
+        }
+    }
+    return apply_changes(std::move(changes), position);
+}
+
+// Deletions of the mirrored rows that a snapshot does not hold.
+std::vector<mirrored_row> table_mirror::missing_from(
+    std::span<const mirrored_row> snapshot, std::uint64_t version) const
+{
+    std::set<std::string_view> present;
+    for (const auto& row : snapshot)
     {
         present.insert(row.key);
     }
+    std::vector<mirrored_row> missing;
     for (const auto& [key, row] : rows_)
     {
         if (!present.contains(key))
         {
-            changes.push_back({key, {}, version, true});
+            missing.push_back({key, {}, version, true});
         }
     }
+    return missing;
+}
+
+// Replaces everything: no version of the era before can be compared.
+std::vector<mirrored_row> table_mirror::begin_era(
+    std::vector<mirrored_row> rows, store_position position)
+{
+    auto changes = missing_from(rows, position.version);
+    std::map<std::string, mirrored_row> next;
     for (auto& row : rows)
     {
         const auto known = rows_.find(row.key);
-        if (known == rows_.end() || known->second.version < row.version)
+        if (known == rows_.end() || known->second.value != row.value)
         {
-            changes.push_back(std::move(row));
+            changes.push_back(row);
         }
+        next[row.key] = std::move(row);
     }
-    return apply_changes(std::move(changes), version);
+    rows_ = std::move(next);
+    deletions_.clear();
+    pruned_version_ = position.version;
+    position_ = position;
+    return changes;
 }
 
 std::vector<mirrored_row> table_mirror::apply_changes(
-    std::vector<mirrored_row> rows, std::uint64_t version)
+    std::vector<mirrored_row> rows, store_position position)
 {
+    if (position.era != position_.era)
+    {
+        return {};
+    }
     std::vector<mirrored_row> changes;
     for (auto& row : rows)
     {
@@ -69,7 +103,7 @@
             changes.push_back(std::move(row));
         }
     }
-    version_ = std::max(version_, version);
+    position_ = std::max(position_, position);
     return changes;
 }
 
@@ -84,23 +118,23 @@
 }
 
 std::optional<std::vector<mirrored_row>> table_mirror::changes_after(
-    std::uint64_t version) const
+    store_position position) const
 {
-    if (version < pruned_version_)
+    if (position.era != position_.era || position.version < pruned_version_)
     {
         return std::nullopt;
     }
     std::vector<mirrored_row> result;
     for (const auto& [key, row] : rows_)
     {
-        if (row.version > version)
+        if (row.version > position.version)
         {
             result.push_back(row);
         }
     }
     for (const auto& row : deletions_)
     {
-        if (row.version > version)
+        if (row.version > position.version)
         {
             result.push_back(row);
         }
--- a/packages/store/table_mirror.hpp
+++ b/packages/store/table_mirror.hpp
@@ -1,10 +1,15 @@
 // In-memory replica of one table of a store that reports changes by version.
 //
 // The replica serves incremental reads as the store does: a reader passes the
-// last version it has seen and gets the changes since. This lets a few daemons
+// last position it has seen and gets the changes since. This lets a few daemons
 // read the store and the other daemons read from them.
+//
+// A store that lost writes, because it came back from an older copy of itself,
+// begins a new era and gives the versions after that copy out again. Versions
+// are therefore compared within one era only; a new era starts with a snapshot.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,11 +20,23 @@
 namespace waxwingvalve::store
 {
 
+// A point in the history of a store.
+struct store_position
+{
+    std::uint64_t era{};
+    // Counts the transactions of the era; 0 before the first read.
+    std::uint64_t version{};
+
+    friend auto operator<=>(const store_position&, const store_position&) =
+        default;
+};
+
 struct mirrored_row
 {
     std::string key{};
     std::string value{};
-    // Store version at which the row was written or deleted.
+    // Store version at which the row was written or deleted, in the era of the
+    // mirror or answer that holds it.
     std::uint64_t version{};
     bool deleted{};
 };
@@ -31,27 +48,34 @@
     // Deletions kept for readers that lag; the oldest are dropped first.
     static constexpr std::size_t max_deletions = 4096;
 
-    // Applies the whole table as of `version`; ignored if older than the
+    // Applies the whole table as of `position`; ignored if older than the
     // mirror. Returns the new and changed rows, and deletions of the rows that
-    // are not in the snapshot.
+    // are not in the snapshot. In a new era, rows count as changed by their
+    // values.
     std::vector<mirrored_row> apply_snapshot(
-        std::vector<mirrored_row> rows, std::uint64_t version);
+        std::vector<mirrored_row> rows, store_position position);
 
-    // Applies changes up to `version` and returns those that took effect. Rows
-    // that are not newer than the mirrored ones are ignored.
+    // Applies changes up to `position` and returns those that took effect. Rows
+    // that are not newer than the mirrored ones are ignored, and so are changes
+    // of another era: those of a newer one need its snapshot first.
     std::vector<mirrored_row> apply_changes(
-        std::vector<mirrored_row> rows, std::uint64_t version);
+        std::vector<mirrored_row> rows, store_position position);
 
-    // Returns the changes after `version` in version order, or nullopt if some
-    // of them were dropped; the reader must then read rows().
+    // Returns the changes after `position` in version order, or nullopt if some
+    // of them were dropped or the position is of another era; the reader must
+    // then read rows().
     std::optional<std::vector<mirrored_row>> changes_after(
-        std::uint64_t version) const;
+        store_position position) const;
 
     std::vector<mirrored_row> rows() const;
-    std::uint64_t version() const { return version_; }
-    bool loaded() const { return version_ != 0; }
+    store_position position() const { return position_; }
+    bool loaded() const { return position_.version != 0; }
 
 private:
+    std::vector<mirrored_row> begin_era(
+        std::vector<mirrored_row> rows, store_position position);
+    std::vector<mirrored_row> missing_from(
+        std::span<const mirrored_row> snapshot, std::uint64_t version) const;
     void record_deletion(const mirrored_row& row);
 
     std::map<std::string, mirrored_row> rows_;
@@ -59,7 +83,7 @@
     std::vector<mirrored_row> deletions_;
     // Deletions up to this version were dropped from deletions_.
     std::uint64_t pruned_version_{0};
-    std::uint64_t version_{0};
+    store_position position_{};
 };
 
 } // namespace waxwingvalve::store
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -77,6 +77,19 @@
     tables_[table][key] = {key, {}, ++version_, true};
 }
 
+void fake_store::restore()
+{
+    tables_ = copy_.rows;
+    version_ = copy_.version;
+    ++era_;
+}
+
+net::http_response fake_store::with_era(net::http_response response) const
+{
+    net::set_field(response.fields, "Store-Era", std::to_string(era_));
+    return response;
+}
+
 net::http_response fake_store::list_rows(const std::string& table) const
 {
     platform::table_response response{.version = version_};
@@ -97,8 +110,13 @@
     std::string table, std::uint64_t after, std::chrono::milliseconds max_wait)
 {
     const auto deadline = std::chrono::steady_clock::now() + max_wait;
+    const auto era = era_;
     for (;;)
     {
+        if (after > version_ || era != era_)
+        {
+            co_return make_status_response(410);
+        }
         platform::table_response response{.version = version_};
         for (const auto& [key, row] : tables_[table])
         {
@@ -119,6 +137,17 @@
 
 asio::awaitable<std::optional<net::http_response>> fake_store::handle_request(
     net::http_request request)
+{
+    auto response = co_await answer(std::move(request));
+    if (!response)
+    {
+        co_return std::nullopt;
+    }
+    co_return with_era(std::move(*response));
+}
+
+asio::awaitable<std::optional<net::http_response>> fake_store::answer(
+    net::http_request request)
 {
     ++request_count_;
     const bool is_feed = request.target.find("rows-feed") != std::string::npos;
--- a/tests/platform/fake_store.hpp
+++ b/tests/platform/fake_store.hpp
@@ -52,6 +52,10 @@
     // Marks a row as deleted and advances the store's version.
     void remove(const std::string& table, const std::string& key);
     void set_fault(store_fault fault) { fault_ = fault; }
+    // Keeps a copy of all rows, to which restore() goes back.
+    void keep_copy() { copy_ = {tables_, version_}; }
+    // Loses every write since keep_copy() and begins a new era.
+    void restore();
     int request_count() const { return request_count_; }
 
 private:
@@ -69,9 +73,24 @@
     boost::asio::io_context& loop_;
     base::endpoint address_{};
     std::unique_ptr<net::http_server> server_;
+    // Adds the era to an answer.
+    net::http_response with_era(net::http_response response) const;
+    boost::asio::awaitable<std::optional<net::http_response>> answer(
+        net::http_request request);
+
     // Rows by table and key, including deleted rows.
-    std::map<std::string, std::map<std::string, store::mirrored_row>> tables_;
+    using tables =
+        std::map<std::string, std::map<std::string, store::mirrored_row>>;
+    struct store_copy
+    {
+        tables rows{};
+        std::uint64_t version{};
+    };
+
+    tables tables_;
     std::uint64_t version_{1};
+    std::uint64_t era_{1};
+    store_copy copy_{};
     store_fault fault_{store_fault::none};
     int request_count_{0};
 };
--- /dev/null
+++ b/tests/platform/store_watch_fixture.cpp
@@ -0,0 +1,136 @@
+#include "platform/store_watch_fixture.hpp"
+
+#include <stdexcept>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <fmt/format.h>
+
+#include "net/answers.hpp"
+#include "platform/lookups.hpp"
+
+namespace waxwingvalve::tests
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+base::endpoint free_address(boost::asio::io_context& loop)
+{
+    boost::asio::ip::tcp::acceptor probe{
+        loop, {boost::asio::ip::address_v4::loopback(), 0}};
+    return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+net::server_handlers make_handlers(const platform::store_watch& watch)
+{
+    net::server_handlers handlers;
+    handlers.fast = [&watch](const net::http_request& request)
+        -> std::optional<net::http_response>
+    { return platform::relay_rows(watch, request); };
+    handlers.refuse = [](const base::error& reason)
+    { return net::make_refusal(reason, net::outcome::not_run); };
+    return handlers;
+}
+
+} // namespace
+
+std::string make_configuration(int version)
+{
+    return fmt::format(
+        R"({{"version":"r{0}","resources":[{{"entry_type":"routes",)"
+        R"("metadata":{{"name":"one"}},"spec":{{"host":"a.example",)"
+        R"("prefix":"/x{0}/","kind":"safe","timeout":"800ms",)"
+        R"("target_latency":"300ms","priority":2,"service":"desk",)"
+        R"("max_attempts":2}}}}]}})",
+        version);
+}
+
+std::string make_worker(std::string_view state, std::int64_t born, int report)
+{
+    return fmt::format(
+        R"({{"address":"10.0.0.9:8080","born":{},"info":{{"service":"desk",)"
+        R"("version":"v1","zone":"addis-a","slots":4}},"status":{{"state":)"
+        R"("{}","sequence":{},"cold_remaining":"0ms"}}}})",
+        born,
+        state,
+        report);
+}
+
+front::steering::fleet_member make_local_member()
+{
+    front::steering::fleet_member member;
+    member.name = "self";
+    member.zone = "addis-a";
+    member.region = "addis";
+    return member;
+}
+
+store_watch_fixture::store_watch_fixture()
+{
+    store.put("op", "config", make_configuration(5));
+    store.put("servers", "i-1", make_worker("ready"));
+    watch.start();
+}
+
+bool store_watch_fixture::wait_until(
+    const std::function<bool()>& condition, std::chrono::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!condition() && std::chrono::steady_clock::now() < deadline)
+    {
+        loop.run_for(5ms);
+    }
+    return condition();
+}
+
+void store_watch_fixture::run_for(std::chrono::milliseconds time)
+{
+    wait_until([] { return false; }, time);
+}
+
+bool store_watch_fixture::wait_until_loaded()
+{
+    return wait_until([this] { return watch.loaded(); }, 1s);
+}
+
+bool store_watch_fixture::wait_until_configured(
+    std::uint64_t version, std::chrono::milliseconds timeout)
+{
+    return wait_until(
+        [&] { return view.configuration().version == version; }, timeout);
+}
+
+bool store_watch_fixture::has_worker(const std::string& id) const
+{
+    return view.workers().find(id) != nullptr;
+}
+
+relay_daemon::relay_daemon(
+    store_watch_fixture& fixture, const base::endpoint& store)
+    : view{{}, make_local_member(), {{"addis-a", "addis"}}, 2},
+      watch{fixture.loop, store, view, fixture.metrics}, fixture_{fixture},
+      server_{fixture.loop, {}, make_handlers(watch)}, address_{free_address(
+                                                           fixture.loop)}
+{
+    if (!server_.listen(address_))
+    {
+        throw std::runtime_error{"the port chosen for the relay is in use"};
+    }
+    watch.start();
+}
+
+void relay_daemon::announce()
+{
+    auto member = make_local_member();
+    member.name = "first";
+    member.incarnation = 1;
+    member.heartbeat = ++heartbeat_;
+    member.control_address = address_;
+    front::steering::fleet_beat beat;
+    beat.sender = member;
+    fixture_.view.members.receive(beat, base::monotonic_clock::now());
+}
+
+} // namespace waxwingvalve::tests
