Steering: what a restored store lists of workers does not undo later reports

What callers would see: requests to workers that have ended, that drain, or that are cold again, after the store came back from an older copy.

Cause: the entries of the copy count as news, although this daemon has seen later ones: a worker that has gone is back, an older incarnation replaces the newer, a cold worker counts as warm. The class: a source that went back is believed over what was learned from it since.

The interval comes from the settings (worker_report_interval).

--- a/packages/schema/front_settings.cpp
+++ b/packages/schema/front_settings.cpp
@@ -107,6 +107,12 @@
     BOOST_OUTCOME_TRY(out.stop_time, time_at("stop_time", in.stop_time));
     BOOST_OUTCOME_TRY(
         out.retry_window, time_at("retry_window", in.retry_window));
+    if (!in.worker_report_interval.empty())
+    {
+        BOOST_OUTCOME_TRY(
+            out.worker_report_interval,
+            time_at("worker_report_interval", in.worker_report_interval));
+    }
     if (in.retry_ratio < 0 || in.retry_ratio > 1)
     {
         return invalid(
--- a/packages/schema/front_settings.hpp
+++ b/packages/schema/front_settings.hpp
@@ -45,6 +45,8 @@
     // Share of a region's requests that may change regions at once.
     double region_step{};
     base::log_level log_level{base::log_level::info};
+    // How often a worker reports; its entry ends after three silent intervals.
+    std::chrono::milliseconds worker_report_interval{1'500};
     // Memory for the bodies of requests and answers; 0 for a share of the VM's.
     std::uint64_t body_memory_bytes{};
 };
--- a/tests/platform/lookups_test.cpp
+++ b/tests/platform/lookups_test.cpp
@@ -64,7 +64,8 @@
         1};
     front::request_metrics metrics;
     front::body_memory memory{1'000};
-    platform::store_watch watch{loop, {"127.0.0.1", 9}, view, metrics};
+    platform::store_watch watch{
+        loop, {"127.0.0.1", 9}, view, metrics, std::chrono::milliseconds{1500}};
     bool leaving{false};
     platform::lookup_context context{view, watch, metrics, memory, 2s, leaving};
 };
--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -22,6 +22,12 @@
     }
 }
 
+bool draining(const store_watch_fixture& fixture, const std::string& id)
+{
+    const auto worker = fixture.view.workers().find(id);
+    return worker && worker->entry().draining;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(restored_stores)
@@ -135,6 +141,27 @@
     BOOST_TEST(reader.view.configuration().version == 9U);
 }
 
+// Guards against requests to workers that a restored store lists as they were.
+BOOST_AUTO_TEST_CASE(worker_that_has_gone_does_not_return)
+{
+    store_watch_fixture fixture;
+    fixture.store.put("servers", "i-2", make_worker("ready"));
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    fixture.store.keep_copy();
+    fixture.store.put("servers", "i-2", make_worker("draining", 1, 9));
+    fixture.store.remove("servers", "i-1");
+    BOOST_REQUIRE(fixture.wait_until(
+        [&] { return !fixture.has_worker("i-1") && draining(fixture, "i-2"); },
+        change_limit));
+    fixture.store.restore();
+    fixture.run_for(2s);
+    BOOST_TEST(!fixture.has_worker("i-1"));
+    BOOST_TEST(draining(fixture, "i-2"));
+    fixture.store.put("servers", "i-1", make_worker("ready", 1, 11));
+    BOOST_TEST(fixture.wait_until(
+        [&] { return fixture.has_worker("i-1"); }, change_limit));
+}
+
 // Guards against the loss of workers whose entries the restored store lacks
 // until they report again.
 BOOST_AUTO_TEST_CASE(worker_missing_from_the_copy_is_kept_until_it_reports)
--- a/tests/platform/store_watch_fixture.cpp
+++ b/tests/platform/store_watch_fixture.cpp
@@ -110,9 +110,14 @@
 relay_daemon::relay_daemon(
     store_watch_fixture& fixture, const base::endpoint& store)
     : view{{}, make_local_member(), {{"addis-a", "addis"}}, 2},
-      watch{fixture.loop, store, view, fixture.metrics}, fixture_{fixture},
-      server_{fixture.loop, {}, make_handlers(watch)}, address_{free_address(
-                                                           fixture.loop)}
+      watch{
+          fixture.loop,
+          store,
+          view,
+          fixture.metrics,
+          store_watch_fixture::report_interval},
+      fixture_{fixture}, server_{fixture.loop, {}, make_handlers(watch)},
+      address_{free_address(fixture.loop)}
 {
     if (!server_.listen(address_))
     {
--- a/tests/platform/store_watch_fixture.hpp
+++ b/tests/platform/store_watch_fixture.hpp
@@ -30,6 +30,8 @@
 
 struct store_watch_fixture
 {
+    static constexpr std::chrono::milliseconds report_interval{1'500};
+
     // Starts with configuration 5 and the worker "i-1".
     store_watch_fixture();
 
@@ -48,7 +50,8 @@
     fake_store store{loop};
     front::fleet_view view{{}, make_local_member(), {{"addis-a", "addis"}}, 1};
     front::request_metrics metrics;
-    platform::store_watch watch{loop, store.address(), view, metrics};
+    platform::store_watch watch{
+        loop, store.address(), view, metrics, report_interval};
 };
 
 // Another daemon of the region, from which the fixture's daemon reads once it
--- a/tests/schema/front_settings_test.cpp
+++ b/tests/schema/front_settings_test.cpp
@@ -34,6 +34,7 @@
   "retry_allowance": 430,
   "region_step": 0.15,
   "log_level": "error",
+  "worker_report_interval": "2s",
   "body_memory_mb": 40
 })";
 
@@ -56,6 +57,7 @@
     {R"("region": "addis",)", R"("region": "harar",)"},
     {R"("lookup_lifetime": "2s")", R"("lookup_lifetime": "2")"},
     {R"("stop_time": "10s")", R"("stop_time": "0s")"},
+    {R"("worker_report_interval": "2s")", R"("worker_report_interval": "2")"},
     {R"("retry_ratio": 0.2)", R"("retry_ratio": 1.2)"},
     {R"("retry_allowance": 430)", R"("retry_allowance": -1)"},
     {R"("region_step": 0.15)", R"("region_step": 0)"},
