Platform: an evacuation that a restored store has lost stays in force

What callers would see: requests to a zone that the operator evacuated, as soon as the store comes back from a copy without that order; or a whole zone treated as cold for an order that was taken back.

Cause: the rows of the copy were applied at once, also where this daemon has seen them undone since.

Evidence: restored_stores/lost_evacuation_stays_in_force_until_it_is_written_again and evacuation_that_was_taken_back_returns_only_if_it_stays.

--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -183,4 +183,42 @@
     BOOST_TEST(fixture.has_worker("i-2"));
 }
 
+// Guards against requests to a zone whose evacuation a restored store has lost.
+BOOST_AUTO_TEST_CASE(lost_evacuation_stays_in_force_until_it_is_written_again)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    const auto evacuated = [&]
+    { return fixture.view.evacuated_zones().contains("addis-a"); };
+    fixture.store.keep_copy();
+    fixture.store.put("op", "evacuate/addis-a", "{}");
+    BOOST_REQUIRE(fixture.wait_until(evacuated, change_limit));
+    fixture.store.restore();
+    fixture.run_for(1s);
+    BOOST_TEST(evacuated());
+    fixture.store.put("op", "evacuate/addis-a", "{}");
+    fixture.run_for(3s);
+    BOOST_TEST(evacuated());
+    fixture.store.remove("op", "evacuate/addis-a");
+    BOOST_TEST(fixture.wait_until([&] { return !evacuated(); }, change_limit));
+}
+
+BOOST_AUTO_TEST_CASE(evacuation_that_was_taken_back_returns_only_if_it_stays)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    const auto evacuated = [&]
+    { return fixture.view.evacuated_zones().contains("addis-a"); };
+    fixture.store.put("op", "evacuate/addis-a", "{}");
+    BOOST_REQUIRE(fixture.wait_until(evacuated, change_limit));
+    fixture.store.keep_copy();
+    fixture.store.remove("op", "evacuate/addis-a");
+    BOOST_REQUIRE(
+        fixture.wait_until([&] { return !evacuated(); }, change_limit));
+    fixture.store.restore();
+    fixture.run_for(1500ms);
+    BOOST_TEST(!evacuated());
+    BOOST_TEST(fixture.wait_until(evacuated, change_limit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
