Front: finding out whether a worker crashed has a file of its own

What all requests share (serving_context) stands in its own header. No change of behaviour; front_test passes.

--- /dev/null
+++ b/packages/front/crash_probe.cpp
@@ -0,0 +1,87 @@
+#include "front/crash_probe.hpp"
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "base/log.hpp"
+
+namespace waxwingvalve::front
+{
+
+using tcp = boost::asio::ip::tcp;
+
+namespace
+{
+
+void record_crash(
+    serving_context& context,
+    const unanswered_attempt& attempt,
+    const steering::worker_crash& crash)
+{
+    auto& view = context.view;
+    view.record_unreachable(*attempt.worker, base::monotonic_clock::now());
+    const bool counted = view.crashes.record_crash(crash);
+    if (counted)
+    {
+        view.crash_gossip.publish(crash);
+    }
+    base::log_event(
+        base::log_level::warning,
+        base::log_channel::serving,
+        "worker_ended",
+        "request",
+        attempt.request,
+        "worker",
+        attempt.worker->entry().id,
+        "digest",
+        crash.digest,
+        "counts",
+        counted);
+}
+
+} // namespace
+
+void probe_for_crash(serving_context& context, unanswered_attempt attempt)
+{
+    boost::system::error_code failure;
+    const auto worker_address = attempt.worker->entry().address;
+    const auto address =
+        boost::asio::ip::make_address(worker_address.address, failure);
+    if (failure)
+    {
+        return;
+    }
+    auto socket = std::make_shared<tcp::socket>(context.loop);
+    // Names the incarnation that ran the request: the worker may have started
+    // again by the time of the answer.
+    const steering::worker_crash crash{
+        .id = context.view.crash_gossip.new_id(),
+        .digest = attempt.digest,
+        .worker = steering::incarnation_digest(attempt.worker->entry()),
+        .sent_at = attempt.sent_at,
+        .ended_at = attempt.ended_at};
+    socket->async_connect(
+        tcp::endpoint{address, worker_address.port},
+        [socket, &context, crash, attempt = std::move(attempt)](
+            const boost::system::error_code& reason)
+        {
+            if (reason == boost::asio::error::connection_refused)
+            {
+                record_crash(context, attempt, crash);
+            }
+        });
+}
+
+void clear_crash_suspicion(serving_context& context, std::uint64_t digest)
+{
+    const auto cleared = context.view.crashes.record_answer(
+        digest, base::monotonic_clock::now());
+    if (cleared)
+    {
+        context.view.crash_gossip.publish(*cleared);
+    }
+}
+
+} // namespace waxwingvalve::front
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -4,13 +4,13 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/string.hpp>
 #include <fmt/format.h>
 
 #include "base/log.hpp"
 #include "base/number.hpp"
 #include "decision/retries/request_digest.hpp"
+#include "front/crash_probe.hpp"
 #include "front/request_fields.hpp"
 #include "front/retry_after.hpp"
 
@@ -329,7 +329,7 @@
         net::find_field(answer.fields, context_.fields.signature).has_value();
     if (signed_by_worker)
     {
-        clear_suspicion();
+        clear_crash_suspicion(context_, digest_);
     }
     if (is_success(answer.status) && signed_by_worker)
     {
@@ -396,7 +396,13 @@
     context_.view.record_outcome(*worker, true, now);
     if (outcome.status == exchange_status::closed_early)
     {
-        probe_for_crash(worker);
+        probe_for_crash(
+            context_,
+            {.request = attempt_id_,
+             .digest = digest_,
+             .worker = worker,
+             .sent_at = attempt_started_at_,
+             .ended_at = now});
     }
     if (!route_->idempotent)
     {
@@ -406,77 +412,6 @@
     retry_or_refuse({result_code::answer_lost}, true);
 }
 
-// Tells the other daemons that a worker survived the request.
-void request_flow::clear_suspicion()
-{
-    const auto cleared = context_.view.crashes.record_answer(
-        digest_, base::monotonic_clock::now());
-    if (cleared)
-    {
-        context_.view.crash_gossip.publish(*cleared);
-    }
-}
-
-// A connection that closed without an answer may mean that the worker crashed.
-// Opens a new connection to check: if it is refused, the worker is gone and the
-// request is recorded as the suspected cause.
-void request_flow::probe_for_crash(const fleet_view::worker_ptr& worker)
-{
-    using tcp = boost::asio::ip::tcp;
-    boost::system::error_code failure;
-    const auto& worker_address = worker->entry().address;
-    const auto address =
-        boost::asio::ip::make_address(worker_address.address, failure);
-    if (failure)
-    {
-        return;
-    }
-    auto socket = std::make_shared<tcp::socket>(context_.loop);
-    socket->async_connect(
-        tcp::endpoint{address, worker_address.port},
-        [socket,
-         worker,
-         self = shared_from_this(),
-         crash =
-             steering::worker_crash{
-                 .id = context_.view.crash_gossip.new_id(),
-                 .digest = digest_,
-                 .worker = steering::incarnation_digest(worker->entry()),
-                 .sent_at = attempt_started_at_,
-                 .ended_at = base::monotonic_clock::now()}](
-            const boost::system::error_code& reason)
-        {
-            if (reason == boost::asio::error::connection_refused)
-            {
-                self->record_crash(*worker, crash);
-            }
-        });
-}
-
-void request_flow::record_crash(
-    steering::worker& worker, const steering::worker_crash& crash)
-{
-    auto& view = context_.view;
-    view.record_unreachable(worker, base::monotonic_clock::now());
-    const bool counted = view.crashes.record_crash(crash);
-    if (counted)
-    {
-        view.crash_gossip.publish(crash);
-    }
-    base::log_event(
-        log_level::warning,
-        log_channel::serving,
-        "worker_ended",
-        "request",
-        attempt_id_,
-        "worker",
-        worker.entry().id,
-        "digest",
-        digest_,
-        "counts",
-        counted);
-}
-
 void request_flow::retry_or_refuse(const base::error& reason, bool costs_budget)
 {
     const auto now = base::monotonic_clock::now();
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -8,34 +8,19 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/time.hpp"
 #include "decision/steering/configuration.hpp"
-#include "front/body_memory.hpp"
 #include "front/fleet_view.hpp"
-#include "front/header_names.hpp"
-#include "front/request_metrics.hpp"
+#include "front/serving_context.hpp"
 #include "front/upstream_connection.hpp"
-#include "front/upstream_pool.hpp"
 #include "net/answers.hpp"
 #include "net/http_message.hpp"
 
 namespace waxwingvalve::front
 {
 
-// State shared by all requests of a daemon.
-struct serving_context
-{
-    boost::asio::io_context& loop;
-    header_names fields;
-    fleet_view& view;
-    upstream_pool& pool;
-    body_memory& memory;
-    request_metrics& counts;
-};
-
 // A request from the receipt of its last byte to its answer.
 class request_flow : public std::enable_shared_from_this<request_flow>
 {
@@ -92,10 +77,6 @@
     // Sends the request to another worker if attempts, time and retry budget
     // allow it; otherwise answers the caller with `reason`.
     void retry_or_refuse(const base::error& reason, bool costs_budget);
-    void probe_for_crash(const fleet_view::worker_ptr& worker);
-    void record_crash(
-        steering::worker& worker, const steering::worker_crash& crash);
-    void clear_suspicion();
     void time_out();
     void refuse(const base::error& reason);
     void finish(net::http_response answer, std::string_view end);
--- /dev/null
+++ b/packages/front/serving_context.hpp
@@ -0,0 +1,26 @@
+// What all requests of a daemon share.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include "front/body_memory.hpp"
+#include "front/fleet_view.hpp"
+#include "front/header_names.hpp"
+#include "front/request_metrics.hpp"
+#include "front/upstream_pool.hpp"
+
+namespace waxwingvalve::front
+{
+
+// State shared by all requests of a daemon.
+struct serving_context
+{
+    boost::asio::io_context& loop;
+    header_names fields;
+    fleet_view& view;
+    upstream_pool& pool;
+    body_memory& memory;
+    request_metrics& counts;
+};
+
+} // namespace waxwingvalve::front
