Front: what a daemon knows of a service stands in one place

Five maps keyed by service (retry budget, utilization, spillover gates, share of failures, region plan) were looked up one by one, each with its own rule for a new service. They are members of one service_state now. No change of behaviour; front_test and platform_adapter_test pass.

--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -46,6 +46,11 @@
     return "unknown";
 }
 
+void update_failure_share(double& share, bool failed)
+{
+    share += failure_weight * ((failed ? 1.0 : 0.0) - share);
+}
+
 // Runs `event` and logs the worker if that ejects it and it was not ejected
 // before.
 template <typename Event>
@@ -156,12 +161,20 @@
     }
 }
 
+fleet_view::service_state& fleet_view::state_of(std::string_view service)
+{
+    const auto known = services_.find(service);
+    return known != services_.end()
+               ? known->second
+               : services_.try_emplace(std::string{service}).first->second;
+}
+
 std::string fleet_view::begin_request(
     const steering::route& route, base::instant now)
 {
     ++requests_since_measured_;
     auto service = split_picker_.next(route);
-    retry_budgets_[service].count_request(now);
+    state_of(service).retry_budget.count_request(now);
     return service;
 }
 
@@ -180,9 +193,13 @@
 {
     live_daemon_names_ = members.live_names(now);
     update_request_rate(now);
-    for (auto& [service, plan] : plans_)
+    for (auto& [service, state] : services_)
     {
-        plan.update(region_supplies(service, now), members.self().region, now);
+        if (!state.plan.shares().empty())
+        {
+            state.plan.update(
+                region_supplies(service, now), members.self().region, now);
+        }
     }
 }
 
@@ -261,7 +278,7 @@
 void fleet_view::record_latency(
     const std::string& service, base::duration latency, base::duration target)
 {
-    utilization_limits_[service].record(latency, target);
+    state_of(service).utilization_limit.record(latency, target);
 }
 
 void fleet_view::record_load(
@@ -271,21 +288,14 @@
 {
     const auto& entry = worker.entry();
     worker.report(load, now);
-    spillover_gates_[entry.service][region_of(entry.zone)].record(load);
-}
-
-void fleet_view::update_failure_share(const std::string& service, bool failed)
-{
-    auto& share = failure_shares_[service];
-    share += failure_weight * ((failed ? 1.0 : 0.0) - share);
+    state_of(entry.service).spillover_gates[region_of(entry.zone)].record(load);
 }
 
 void fleet_view::record_outcome(
     steering::worker& worker, bool failed, base::instant now)
 {
-    const auto& service = worker.entry().service;
-    update_failure_share(service, failed);
-    const double peer_failure_share = failure_shares_[service];
+    auto& peer_failure_share = state_of(worker.entry().service).failure_share;
+    update_failure_share(peer_failure_share, failed);
     log_ejection(
         worker,
         peer_failure_share,
@@ -295,9 +305,8 @@
 
 void fleet_view::record_timeout(steering::worker& worker, base::instant now)
 {
-    const auto& service = worker.entry().service;
-    update_failure_share(service, true);
-    const double peer_failure_share = failure_shares_[service];
+    auto& peer_failure_share = state_of(worker.entry().service).failure_share;
+    update_failure_share(peer_failure_share, true);
     log_ejection(
         worker,
         peer_failure_share,
@@ -307,7 +316,8 @@
 
 void fleet_view::record_unreachable(steering::worker& worker, base::instant now)
 {
-    const double peer_failure_share = failure_shares_[worker.entry().service];
+    const double peer_failure_share =
+        state_of(worker.entry().service).failure_share;
     log_ejection(
         worker,
         peer_failure_share,
@@ -317,7 +327,7 @@
 
 bool fleet_view::spend_retry(const std::string& service, base::instant now)
 {
-    return retry_budgets_[service].spend(
+    return state_of(service).retry_budget.spend(
         options_.retry_budget, daemon_count(), now);
 }
 
@@ -459,18 +469,17 @@
 
 fleet_view::placement fleet_view::place_among(
     const placement_request& request,
-    const steering::region_plan& plan,
+    service_state& service,
     bool accept_failing,
     base::instant now)
 {
     placement result;
     auto policy = options_.choice;
-    const std::string service{request.service};
-    policy.max_utilization = utilization_limits_[service].value();
+    policy.max_utilization = service.utilization_limit.value();
     const bool top_priority = has_highest_priority(*request.route);
-    auto& gates = spillover_gates_[service];
+    auto& gates = service.spillover_gates;
     const bool local_spillover = gates[members.self().region].open();
-    for (const auto region : plan.region_order(request.object))
+    for (const auto region : service.plan.region_order(request.object))
     {
         if (!home_region_allows(*request.route, region))
         {
@@ -491,7 +500,7 @@
         for (const auto& next : ranked)
         {
             const auto& worker = *workers[next.index];
-            if (try_assign(*worker, request, region, plan, now))
+            if (try_assign(*worker, request, region, service.plan, now))
             {
                 result.chosen = worker;
                 return result;
@@ -504,16 +513,16 @@
 base::result<fleet_view::worker_ptr> fleet_view::place(
     const placement_request& request, base::instant now)
 {
-    const std::string service{request.service};
-    auto& plan = plans_[service];
-    if (plan.shares().empty())
+    auto& service = state_of(request.service);
+    if (service.plan.shares().empty())
     {
-        plan.update(region_supplies(service, now), members.self().region, now);
+        service.plan.update(
+            region_supplies(request.service, now), members.self().region, now);
     }
-    auto found = place_among(request, plan, false, now);
+    auto found = place_among(request, service, false, now);
     if (!found.chosen && found.candidates == 0)
     {
-        found = place_among(request, plan, true, now);
+        found = place_among(request, service, true, now);
     }
     if (found.chosen)
     {
@@ -521,16 +530,16 @@
     }
     if (found.candidates == 0)
     {
-        return fail(result_code::no_upstream, service);
+        return fail(result_code::no_upstream, std::string{request.service});
     }
     return fail(
         result_code::no_room,
         fmt::format(
             "{}: {} workers, {} with room, full at {:.2f}",
-            service,
+            request.service,
             found.candidates,
             found.with_free_slots,
-            utilization_limits_[service].value()));
+            service.utilization_limit.value()));
 }
 
 } // namespace waxwingvalve::front
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -144,6 +144,21 @@
     steering::crash_gossip crash_gossip;
 
 private:
+    // What is observed and planned for one service.
+    struct service_state
+    {
+        steering::fleet_retry_budget retry_budget{};
+        steering::utilization_limit utilization_limit{};
+        // Keyed by region.
+        std::map<std::string, steering::spillover_gate, std::less<>>
+            spillover_gates{};
+        // Moving average of the share of failed requests.
+        double failure_share{0};
+        // Without shares until the first request.
+        steering::region_plan plan{};
+    };
+    service_state& state_of(std::string_view service);
+
     bool may_serve(
         const steering::worker& worker,
         const placement_request& request,
@@ -164,7 +179,7 @@
     };
     placement place_among(
         const placement_request& request,
-        const steering::region_plan& plan,
+        service_state& service,
         bool accept_failing,
         base::instant now);
     bool home_region_allows(
@@ -176,7 +191,6 @@
         const steering::region_plan& plan,
         base::instant now);
     void update_request_rate(base::instant now);
-    void update_failure_share(const std::string& service, bool failed);
     // The pointers are valid until the list of workers changes.
     std::vector<const worker_ptr*> workers_in(
         std::string_view service, std::string_view region) const;
@@ -201,14 +215,7 @@
     steering::split_picker split_picker_;
     steering::cold_worker_limiter cold_worker_limiter_;
     steering::region_shift_limiter region_shift_limiter_;
-    std::map<std::string, steering::fleet_retry_budget> retry_budgets_;
-    std::map<std::string, steering::utilization_limit> utilization_limits_;
-    // Keyed by service, then region.
-    std::map<std::string, std::map<std::string, steering::spillover_gate>>
-        spillover_gates_;
-    // Moving average of the share of failed requests, per service.
-    std::map<std::string, double> failure_shares_;
-    std::map<std::string, steering::region_plan, std::less<>> plans_;
+    std::map<std::string, service_state, std::less<>> services_;
     std::vector<std::string> live_daemon_names_;
     // Requests received since the rate was last measured.
     std::uint32_t requests_since_measured_{0};
