--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -1,7 +1,10 @@
 // Tests for a daemon's copy of a store that comes back from an older copy of
 // itself: writes are lost and versions are given out again.
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
 #include "platform/store_watch_fixture.hpp"
 
 using namespace waxwingvalve;
@@ -106,7 +109,7 @@
 {
     store_watch_fixture fixture;
     BOOST_REQUIRE(fixture.wait_until_loaded());
-    const auto before = fixture.watch.relay("servers", {});
+    const auto before = fixture.watch.relay({"servers", {}});
     BOOST_REQUIRE(before);
     const auto version = platform::parse_rows(*before).value().version;
     fixture.store.keep_copy();
@@ -116,12 +119,12 @@
     BOOST_TEST(fixture.wait_until(
         [&]
         {
-            const auto rows = fixture.watch.relay("servers", {1, version});
+            const auto rows = fixture.watch.relay({"servers", {1, version}});
             return rows && platform::parse_rows(*rows).value().is_snapshot &&
                    platform::parse_rows(*rows).value().era == 2U;
         },
         change_limit));
-    BOOST_TEST(!fixture.watch.relay("servers", {3, 1}));
+    BOOST_TEST(!fixture.watch.relay({"servers", {3, 1}}));
 }
 
 // The daemon follows another one over the restore, without a read of its own.
@@ -141,6 +144,46 @@
     BOOST_TEST(reader.view.configuration().version == 9U);
 }
 
+// Guards against an older configuration at a daemon that starts before the
+// operator has written again what the restored store lost, whether it reads
+// from the other daemon of its region or that one from it.
+BOOST_DATA_TEST_CASE(
+    started_daemon_learns_the_configuration_in_force,
+    (std::array{"first", "zebra"}),
+    other_name)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    relay_daemon other{fixture, fixture.store.address()};
+    fixture.store.keep_copy();
+    fixture.store.put("op", "config", make_configuration(7));
+    BOOST_REQUIRE(fixture.wait_until(
+        [&] { return other.view.configuration().version == 7U; },
+        change_limit));
+    fixture.store.restore();
+    fixture.run_for(500ms);
+
+    front::fleet_view started{
+        {}, make_local_member(), {{"addis-a", "addis"}}, 3};
+    platform::store_watch watch{
+        fixture.loop,
+        fixture.store.address(),
+        started,
+        fixture.metrics,
+        store_watch_fixture::report_interval};
+    watch.start();
+    other.announce_to(started, other_name);
+    BOOST_TEST(fixture.wait_until(
+        [&] { return started.configuration().version == 7U; }, change_limit));
+    fixture.store.put("op", "config", make_configuration(9));
+    BOOST_TEST(fixture.wait_until(
+        [&] { return started.configuration().version == 9U; }, change_limit));
+    const auto rows = watch.relay({"op", {}, 0});
+    BOOST_REQUIRE(rows);
+    BOOST_TEST(
+        platform::parse_rows(*rows).value().unstored_configuration.empty());
+}
+
 // Guards against requests to workers that a restored store lists as they were.
 BOOST_AUTO_TEST_CASE(worker_that_has_gone_does_not_return)
 {
--- a/tests/platform/store_watch_fixture.cpp
+++ b/tests/platform/store_watch_fixture.cpp
@@ -1,6 +1,7 @@
 #include "platform/store_watch_fixture.hpp"
 
 #include <stdexcept>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <fmt/format.h>
@@ -126,16 +127,16 @@
     watch.start();
 }
 
-void relay_daemon::announce()
+void relay_daemon::announce_to(front::fleet_view& other, std::string name)
 {
     auto member = make_local_member();
-    member.name = "first";
+    member.name = std::move(name);
     member.incarnation = 1;
     member.heartbeat = ++heartbeat_;
     member.control_address = address_;
     front::steering::fleet_beat beat;
     beat.sender = member;
-    fixture_.view.members.receive(beat, base::monotonic_clock::now());
+    other.members.receive(beat, base::monotonic_clock::now());
 }
 
 } // namespace waxwingvalve::tests
--- a/tests/platform/store_watch_fixture.hpp
+++ b/tests/platform/store_watch_fixture.hpp
@@ -63,7 +63,10 @@
     relay_daemon(store_watch_fixture& fixture, const base::endpoint& store);
 
     // Makes this daemon the one that reads the store for the region.
-    void announce();
+    void announce() { announce_to(fixture_.view, "first"); }
+    // Tells the daemon of another view of this one. The daemon with the lowest
+    // name reads the store; the other's is "self".
+    void announce_to(front::fleet_view& other, std::string name);
 
     front::fleet_view view;
     platform::store_watch watch;
--- a/tests/platform/store_watch_test.cpp
+++ b/tests/platform/store_watch_test.cpp
@@ -164,18 +164,18 @@
 BOOST_AUTO_TEST_CASE(relay_serves_only_recent_data)
 {
     store_watch_fixture fixture;
-    BOOST_TEST(!fixture.watch.relay("servers", {}));
+    BOOST_TEST(!fixture.watch.relay({"servers", {}}));
     BOOST_REQUIRE(fixture.wait_until_loaded());
-    const auto snapshot_json = fixture.watch.relay("servers", {});
+    const auto snapshot_json = fixture.watch.relay({"servers", {}});
     BOOST_REQUIRE(snapshot_json);
     const auto parsed = platform::parse_rows(*snapshot_json);
     BOOST_REQUIRE(parsed.has_value());
     BOOST_TEST(parsed.value().is_snapshot);
     BOOST_TEST(parsed.value().rows.size() == 1U);
-    BOOST_TEST(!fixture.watch.relay("none", {}));
+    BOOST_TEST(!fixture.watch.relay({"none", {}}));
     fixture.store.set_fault(store_fault::unavailable);
     fixture.wait_until([] { return false; }, 2500ms);
-    BOOST_TEST(!fixture.watch.relay("servers", {}));
+    BOOST_TEST(!fixture.watch.relay({"servers", {}}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
