Steering: a probe that ends without an answer frees its worker

What callers saw: possibly 503 while workers were free. A worker on probation gets one request at a time, its probe; when the probe was withdrawn, or its caller left, nothing ended the probe and the worker got no request until it started again.

Change: the probe ends with its request.

--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -91,7 +91,13 @@
     void update(worker_entry entry, base::instant now);
 
     void request_sent() { ++in_flight_; }
-    void request_ended() { --in_flight_; }
+    // A probe that ends without an answer or failure frees the worker for the
+    // next one.
+    void request_ended()
+    {
+        --in_flight_;
+        probe_in_flight_ = probe_in_flight_ && in_flight_ > 0;
+    }
     std::uint32_t in_flight() const { return in_flight_; }
 
     void report(const load_report& load, base::instant now);
--- a/tests/front/home_regions_test.cpp
+++ b/tests/front/home_regions_test.cpp
@@ -6,6 +6,7 @@
 
 #include "front/front_fixture.hpp"
 
+using namespace waxwingvalve;
 using namespace waxwingvalve::tests;
 using namespace std::chrono_literals;
 
@@ -80,4 +81,60 @@
     BOOST_TEST(abroad.requests().empty());
 }
 
+// Guards against a worker on probation that gets no request for good, because
+// the one that was its probe was withdrawn.
+BOOST_AUTO_TEST_CASE(withdrawn_probe_leaves_the_worker_usable)
+{
+    front_fixture front;
+    front.move_home("addis");
+    auto& former_home = front.add_worker("a", reply_success);
+    front.add_worker("c", reply_success, "gondar-a");
+    const auto worker = front.view.workers().find("a");
+    front.view.record_unreachable(*worker, base::monotonic_clock::now());
+    front.run_for(1'100ms);
+    BOOST_REQUIRE(worker->on_probation());
+
+    tcp::socket caller{front.loop};
+    caller.connect(
+        {boost::asio::ip::make_address(front.address.address),
+         front.address.port});
+    boost::asio::write(caller, boost::asio::buffer(idempotent_request("1")));
+    while (worker->in_flight() == 0)
+    {
+        front.loop.run_one_for(5ms);
+    }
+    front.move_home("gondar");
+    front.run_for(200ms);
+    BOOST_REQUIRE(former_home.requests().empty());
+
+    front.move_home("addis");
+    const auto response = front.exchange(idempotent_request("2"), 300ms);
+    BOOST_TEST(response.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(former_home.requests().size() == 1U);
+}
+
+// The same when the caller of the probe leaves.
+BOOST_AUTO_TEST_CASE(abandoned_probe_leaves_the_worker_usable)
+{
+    front_fixture front;
+    front.move_home("addis");
+    auto& only = front.add_worker(
+        "a",
+        [](int number)
+        {
+            return scripted_reply{
+                .answer = success_answer("whole"),
+                .delay = number == 1 ? 2'000ms : 0ms};
+        });
+    const auto worker = front.view.workers().find("a");
+    front.view.record_unreachable(*worker, base::monotonic_clock::now());
+    front.run_for(1'100ms);
+    front.send_and_disconnect(idempotent_request("1"), 100ms);
+    front.run_for(200ms);
+    BOOST_REQUIRE(only.requests().size() == 1U);
+    BOOST_REQUIRE(worker->in_flight() == 0U);
+    const auto response = front.exchange(idempotent_request("2"), 300ms);
+    BOOST_TEST(response.starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
