Platform: a daemon that starts without a store asks with pauses

What happened: a daemon that started while the store was away called it without a pause (21,000 to 49,000 calls in a second, counted at the fake store), spent its processor on that, and used up the rate of reads that all daemons share just when the store came back.

Cause: the pause after a failure was 0 until the first success, and doubling 0 leaves 0.

--- a/tests/platform/store_watch_test.cpp
+++ b/tests/platform/store_watch_test.cpp
@@ -178,4 +178,14 @@
     BOOST_TEST(!fixture.watch.relay({"servers", {}}));
 }
 
+// Guards against calls without a pause by a daemon that starts while the store
+// is away.
+BOOST_AUTO_TEST_CASE(daemon_that_starts_without_a_store_asks_with_pauses)
+{
+    store_watch_fixture fixture;
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(1s);
+    BOOST_TEST(fixture.store.request_count() < 20);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
