Platform: what is held back falls due only by the store's word

Found by the review of the restored store.

Cause: the times ran by the daemon's clock, also while nothing could be read.

Change: what waits falls due at the time up to which both tables are known, and waits anew when the store returns again.

--- a/packages/decision/steering/restored_entries.cpp
+++ b/packages/decision/steering/restored_entries.cpp
@@ -47,14 +47,22 @@
     return true;
 }
 
-std::vector<worker_entry> restored_entries::take_outlived(base::instant now)
+void restored_entries::store_returned(base::instant now)
+{
+    for (auto& [id, held_back] : held_back_)
+    {
+        held_back.since = now;
+    }
+}
+
+std::vector<worker_entry> restored_entries::take_outlived(base::instant as_of)
 {
     std::vector<worker_entry> outlived;
     std::erase_if(
         held_back_,
         [&](auto& item)
         {
-            if (now - item.second.since < entry_lifetime_)
+            if (as_of - item.second.since < entry_lifetime_)
             {
                 return false;
             }
--- a/packages/decision/steering/restored_entries.hpp
+++ b/packages/decision/steering/restored_entries.hpp
@@ -40,12 +40,17 @@
         const worker_entry* known,
         base::instant now);
 
+    // Lets the held-back entries wait for their whole lifetime again: the store
+    // was away, so that their workers could not report.
+    void store_returned(base::instant now);
+
     // Forgets the held-back entry of a worker whose row has changed since.
     void row_changed(const std::string& id) { held_back_.erase(id); }
 
-    // Returns the held-back entries that outlived `entry_lifetime`: the store
-    // still lists them, so their workers report.
-    std::vector<worker_entry> take_outlived(base::instant now);
+    // Returns the held-back entries that outlived `entry_lifetime` at the time
+    // up to which the store's entries are known: it still lists them, so their
+    // workers report.
+    std::vector<worker_entry> take_outlived(base::instant as_of);
 
 private:
     struct remembered_entry
--- a/tests/decision/steering/restored_entries_test.cpp
+++ b/tests/decision/steering/restored_entries_test.cpp
@@ -66,6 +66,16 @@
     BOOST_TEST(entries.take_outlived(begin + 10s).empty());
 }
 
+BOOST_AUTO_TEST_CASE(held_back_entry_waits_anew_when_the_store_returns_again)
+{
+    restored_entries entries{entry_lifetime};
+    entries.record_removed(make_entry(1, 7), begin);
+    BOOST_REQUIRE(entries.hold_back(make_entry(1, 5), nullptr, begin));
+    entries.store_returned(begin + 5s);
+    BOOST_TEST(entries.take_outlived(begin + 10s).empty());
+    BOOST_TEST(entries.take_outlived(begin + 11s).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(held_back_entry_is_dropped_when_its_row_changes)
 {
     restored_entries entries{entry_lifetime};
