Front: a withdrawn request obeys the limits of every further attempt

An attempt that was withdrawn while connecting was placed anew whatever time was left, and also when its caller had gone; and a worker that was removed meanwhile still counted as allowed. Both found by the review, by reading.

Change: retry_or_refuse decides, at no cost to the retry budget; a worker must still be known; a connection forgets whom to ask. front_test passes.

--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -365,7 +365,8 @@
     const steering::worker& worker, const steering::route& route) const
 {
     const auto& entry = worker.entry();
-    return !entry.draining && !evacuated_zones_.contains(entry.zone) &&
+    const bool known = workers_.find(entry.id).get() == &worker;
+    return known && !entry.draining && !evacuated_zones_.contains(entry.zone) &&
            home_region_allows(route, region_of(entry.zone));
 }
 
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -104,7 +104,7 @@
         const placement_request& request, base::instant now);
 
     // Whether a request that was placed at the worker may still be sent there:
-    // a configuration or an evacuation may have come in between.
+    // a configuration, an evacuation or the worker's end may have come between.
     bool may_send(
         const steering::worker& worker, const steering::route& route) const;
 
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -272,7 +272,7 @@
             worker->entry().id,
             "homes_of",
             homes_version_);
-        begin_attempt();
+        retry_or_refuse({result_code::no_upstream, worker->entry().id}, false);
         return;
     }
     if (outcome.status != exchange_status::not_connected)
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -238,6 +238,7 @@
 void upstream_connection::state::withdraw(
     const std::shared_ptr<upstream_connection>& self)
 {
+    request.may_send = nullptr;
     report({exchange_status::withdrawn, {}, reused, "no longer allowed there"});
     if (!closed && !handler && idle)
     {
