Soak: the store loses writes, configurations are checked at every daemon

The soak's store forgot its history, but never lost a write, and no check asked which configuration is in force.

Change: the store is away for a moment and comes back from a copy that is some seconds old, with versions that it gave out before and a newer Store-Era, at times twice in a row and always at the end of the faults. Workers leave, end and start again. Requests on routes that only newer configurations have show at every daemon which one is in force. Half of the callers keep their connection until the process is gone; before, every request had a connection of its own. Faults begin up to three at once, and one at the store no longer ends a longer one that it overlaps.

--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -77,6 +77,23 @@
     tables_[table][key] = {key, {}, ++version_, true};
 }
 
+std::map<std::string, std::string> fake_store::values(
+    const std::string& table) const
+{
+    std::map<std::string, std::string> present;
+    if (const auto found = tables_.find(table); found != tables_.end())
+    {
+        for (const auto& [key, row] : found->second)
+        {
+            if (!row.deleted)
+            {
+                present[key] = row.value;
+            }
+        }
+    }
+    return present;
+}
+
 void fake_store::restore()
 {
     tables_ = copy_.rows;
--- a/tests/platform/fake_store.hpp
+++ b/tests/platform/fake_store.hpp
@@ -51,6 +51,8 @@
         const std::string& value);
     // Marks a row as deleted and advances the store's version.
     void remove(const std::string& table, const std::string& key);
+    // Keys of the rows of a table that are not deleted, with their values.
+    std::map<std::string, std::string> values(const std::string& table) const;
     void set_fault(store_fault fault) { fault_ = fault; }
     // Keeps a copy of all rows, to which restore() goes back.
     void keep_copy() { copy_ = {tables_, version_}; }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -11,6 +11,9 @@
 
 #include <fmt/format.h>
 
+#include "soak/configuration_check.hpp"
+#include "soak/soak_client.hpp"
+#include "soak/soak_store.hpp"
 #include "soak/soak_world.hpp"
 
 using namespace waxwingvalve;
@@ -23,6 +26,8 @@
 constexpr int daemon_count = 5;
 constexpr int worker_count = 6;
 constexpr int caller_count = 24;
+// Faults that begin at one moment.
+constexpr int max_series = 3;
 // From the end of the faults to the check that all is well again.
 constexpr std::chrono::milliseconds recovery{6'000};
 constexpr std::chrono::milliseconds check_span{2'000};
@@ -31,34 +36,6 @@
 // Stated target: of the requests after the faults nearly all are served.
 constexpr double least_served = 0.95;
 
-std::string configuration(int version)
-{
-    const auto route = [](std::string_view kind)
-    {
-        return fmt::format(
-            R"({{"entry_type":"routes","metadata":{{"name":"{0}"}},"spec":)"
-            R"({{"host":"desk.example","prefix":"/{0}/","kind":"{0}",)"
-            R"("timeout":"2000ms","target_latency":"300ms","priority":1,)"
-            R"("service":"desk","max_attempts":2,"sticky":true}}}})",
-            kind);
-    };
-    return fmt::format(
-        R"({{"version":"r{}","resources":[{},{}]}})",
-        version,
-        route("safe"),
-        route("unsafe"));
-}
-
-std::string entry(const soak_worker& of, std::string_view state)
-{
-    return fmt::format(
-        R"({{"address":"{}","born":1,"info":{{"service":"desk",)"
-        R"("version":"v1","zone":"addis-a","slots":8}},"status":{{"state":)"
-        R"("{}","sequence":1,"cold_remaining":"0ms"}}}})",
-        to_string(of.address()),
-        state);
-}
-
 class soak_run
 {
 public:
@@ -66,8 +43,8 @@
         std::uint64_t seed,
         std::filesystem::path folder,
         std::filesystem::path other_daemon)
-        : random_{seed}, folder_{std::move(folder)}, other_daemon_{std::move(
-                                                         other_daemon)}
+        : random_{seed}, folder_{std::move(folder)},
+          other_daemon_{std::move(other_daemon)}, store_{loop_, random_()}
     {
         std::filesystem::remove_all(folder_);
         std::filesystem::create_directories(folder_);
@@ -82,12 +59,13 @@
     void inject();
     void end_faults();
     void end_daemon(soak_daemon& one, int signal);
-    void disturb_path(stand_ins::relay& path);
-    void disturb_store();
+    void disturb_path(soak_worker& of);
+    void disturb_worker(soak_worker& one);
+    void end_worker(soak_worker& one);
+    void restart_worker(soak_worker& one, bool same_id);
     void check_refusals();
     void check_recovery();
     void check_drain();
-    void later(std::chrono::milliseconds time, std::function<void()> action);
     int draw(int least, int most)
     {
         return std::uniform_int_distribution<int>{least, most}(random_);
@@ -98,21 +76,22 @@
     std::filesystem::path other_daemon_;
     boost::asio::io_context loop_;
     ledger seen_;
-    tests::fake_store store_{loop_};
+    soak_store store_;
     std::vector<std::unique_ptr<soak_worker>> workers_;
     std::vector<std::unique_ptr<soak_daemon>> daemons_;
-    std::vector<std::shared_ptr<soak_caller>> callers_;
-    int version_{1};
+    std::vector<std::unique_ptr<soak_caller>> callers_;
+    configuration_check configurations_{loop_, daemons_, store_, seen_};
+    bool faults_over_{false};
 };
 
 void soak_run::build()
 {
-    store_.put("op", "config", configuration(version_));
+    store_.write_next_configuration();
     for (int i = 0; i < worker_count; ++i)
     {
         workers_.push_back(std::make_unique<soak_worker>(
             loop_, fmt::format("i-{}", i), seen_, random_()));
-        store_.put("servers", workers_[i]->id(), entry(*workers_[i], "ready"));
+        store_.write_worker(workers_[i]->id(), workers_[i]->entry());
     }
     for (int i = 0; i < daemon_count; ++i)
     {
@@ -126,7 +105,7 @@
     for (int i = 0; i < caller_count; ++i)
     {
         callers_.push_back(
-            std::make_shared<soak_caller>(loop_, daemons_, seen_, random_()));
+            std::make_unique<soak_caller>(loop_, daemons_, seen_, random_()));
         callers_.back()->start();
     }
 }
@@ -137,19 +116,12 @@
     loop_.run_for(time);
 }
 
-void soak_run::later(
-    std::chrono::milliseconds time, std::function<void()> action)
-{
-    auto timer = std::make_shared<boost::asio::steady_timer>(loop_, time);
-    timer->async_wait([timer, action = std::move(action)](
-                          const boost::system::error_code&) { action(); });
-}
-
 void soak_run::end_daemon(soak_daemon& one, int signal)
 {
     one.send(SIGCONT);
     one.send(signal);
     later(
+        loop_,
         std::chrono::milliseconds{signal == SIGKILL ? draw(100, 900) : 5'000},
         [&one]
         {
@@ -160,8 +132,9 @@
         });
 }
 
-void soak_run::disturb_path(stand_ins::relay& path)
+void soak_run::disturb_path(soak_worker& of)
 {
+    auto& path = of.path();
     switch (draw(0, 2))
     {
     case 0:
@@ -173,31 +146,65 @@
     default:
         path.cut();
         later(
+            loop_,
             std::chrono::milliseconds{draw(200, 1'500)},
-            [&path] { static_cast<void>(path.start()); });
+            [&of] { of.open_path(); });
         break;
     }
 }
 
-void soak_run::disturb_store()
+void soak_run::disturb_worker(soak_worker& one)
 {
-    using tests::store_fault;
-    constexpr std::array faults{
-        store_fault::unavailable,
-        store_fault::too_many_requests,
-        store_fault::connection_closed,
-        store_fault::no_response,
-        store_fault::history_gone};
-    store_.set_fault(faults.at(static_cast<std::size_t>(draw(0, 4))));
+    if (one.state() != worker_state::ready)
+    {
+        return;
+    }
+    if (draw(0, 1) == 0)
+    {
+        end_worker(one);
+        return;
+    }
+    one.drain();
+    store_.write_worker(one.id(), one.entry());
+    later(loop_, drain_bound + 500ms, [this, &one] { end_worker(one); });
+}
+
+// A worker that ended comes back after its address may be used again.
+void soak_run::end_worker(soak_worker& one)
+{
+    if (faults_over_ || one.state() == worker_state::ended)
+    {
+        return;
+    }
+    one.end();
+    store_.forget_worker(one.id());
     later(
-        std::chrono::milliseconds{draw(300, 2'500)},
-        [this] { store_.set_fault(store_fault::none); });
+        loop_,
+        std::chrono::milliseconds{draw(2'000, 3'000)},
+        [this, &one]
+        {
+            if (one.state() == worker_state::ended)
+            {
+                restart_worker(one, draw(0, 3) == 0);
+            }
+        });
+}
+
+void soak_run::restart_worker(soak_worker& one, bool same_id)
+{
+    if (!same_id)
+    {
+        store_.forget_worker(one.id());
+    }
+    one.begin_again(same_id ? one.id() : one.id() + "+");
+    store_.write_worker(one.id(), one.entry());
 }
 
 void soak_run::inject()
 {
     auto& daemon = *daemons_[static_cast<std::size_t>(draw(0, 4))];
-    switch (draw(0, 6))
+    auto& worker = *workers_[static_cast<std::size_t>(draw(0, 5))];
+    switch (draw(0, 9))
     {
     case 0:
         end_daemon(daemon, SIGKILL);
@@ -208,6 +215,7 @@
     case 2:
         daemon.send(SIGSTOP);
         later(
+            loop_,
             std::chrono::milliseconds{draw(200, 2'500)},
             [&daemon] { daemon.send(SIGCONT); });
         break;
@@ -215,25 +223,40 @@
         daemon.send(SIGHUP);
         break;
     case 4:
-        disturb_store();
+        store_.disturb();
         break;
     case 5:
-        store_.put("op", "config", configuration(++version_));
+    case 6:
+        store_.write_next_configuration();
+        break;
+    case 7:
+        store_.lose_writes();
+        break;
+    case 8:
+        disturb_worker(worker);
         break;
     default:
-        disturb_path(workers_[static_cast<std::size_t>(draw(0, 5))]->path());
+        disturb_path(worker);
         break;
     }
 }
 
 void soak_run::end_faults()
 {
-    store_.set_fault(tests::store_fault::none);
+    faults_over_ = true;
+    store_.end_faults();
+    // Written before anything else, it gets a version that a lost
+    // configuration had: a daemon that compares versions only misses it.
+    store_.write_next_configuration();
     for (auto& one : workers_)
     {
         one->path().faults() = {};
         one->path().cut();
-        static_cast<void>(one->path().start());
+        one->open_path();
+        if (one->state() != worker_state::ready)
+        {
+            restart_worker(*one, false);
+        }
     }
     for (auto& one : daemons_)
     {
@@ -278,7 +301,8 @@
 void soak_run::check_drain()
 {
     auto& leaving = *workers_.front();
-    store_.put("servers", leaving.id(), entry(leaving, "draining"));
+    leaving.drain();
+    store_.write_worker(leaving.id(), leaving.entry());
     const auto told = base::monotonic_clock::now();
     run_for(drain_bound + 1s);
     if (seen_.last_run[leaving.id()] > told + drain_bound)
@@ -290,23 +314,41 @@
 std::vector<std::string> soak_run::play(std::chrono::seconds length)
 {
     build();
+    configurations_.start();
     const auto end = base::monotonic_clock::now() + length;
+    later(
+        loop_,
+        length - std::chrono::milliseconds{draw(1'000, 4'000)},
+        [this] { store_.keep_copy(); });
     while (base::monotonic_clock::now() < end)
     {
-        inject();
+        for (int i = draw(1, max_series); i > 0; --i)
+        {
+            inject();
+        }
         run_for(std::chrono::milliseconds{draw(50, 700)});
     }
+    // The faults end with a loss of writes, else few of the restores would be
+    // followed by a time in which configurations are judged.
+    store_.go_away(false);
+    run_for(std::chrono::milliseconds{draw(100, 800)});
     end_faults();
     run_for(recovery);
+    store_.write_next_configuration();
     check_recovery();
     check_drain();
+    configurations_.finish();
     for (auto& one : callers_)
     {
         one->stop();
     }
     run_for(3'500ms);
     check_refusals();
-    fmt::print("{} attempts, ", seen_.attempts.size());
+    fmt::print(
+        "{} attempts, {} restores, {} judged on configurations, ",
+        seen_.attempts.size(),
+        store_.restores(),
+        configurations_.judged());
     return seen_.broken;
 }
 
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -4,7 +4,6 @@
 
 #include <fstream>
 
-#include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -20,25 +19,9 @@
 namespace
 {
 
-constexpr std::string_view attempt_field = "X-Waxwingvalve-Attempt-Id";
 constexpr std::string_view target_field = "X-Waxwingvalve-Target-Instance";
-constexpr std::string_view signature_field =
-    "X-Waxwingvalve-Response-Signature";
-// A caller takes a request without an answer for lost after this.
-constexpr std::chrono::milliseconds caller_time{3'000};
 constexpr int caller_port = 18'161;
 
-std::string value_of(const std::string& head, std::string_view field)
-{
-    const auto at = head.find(fmt::format("{}: ", field));
-    if (at == std::string::npos)
-    {
-        return {};
-    }
-    const auto begin = at + field.size() + 2;
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 base::endpoint address_of(const tcp::acceptor& acceptor)
 {
     return {"127.0.0.1", acceptor.local_endpoint().port()};
@@ -70,6 +53,27 @@
 
 } // namespace
 
+std::string value_of(const std::string& head, std::string_view field)
+{
+    const auto at = head.find(fmt::format("{}: ", field));
+    if (at == std::string::npos)
+    {
+        return {};
+    }
+    const auto begin = at + field.size() + 2;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+void later(
+    asio::io_context& loop,
+    std::chrono::milliseconds time,
+    std::function<void()> action)
+{
+    auto timer = std::make_shared<asio::steady_timer>(loop, time);
+    timer->async_wait([timer, action = std::move(action)](const error_code&)
+                      { action(); });
+}
+
 struct soak_worker::connection
 {
     connection(tcp::socket from, asio::io_context& loop)
@@ -100,6 +104,41 @@
     accept();
 }
 
+std::string soak_worker::entry() const
+{
+    return fmt::format(
+        R"({{"address":"{}","born":{},"info":{{"service":"desk",)"
+        R"("version":"v1","zone":"addis-a","slots":8}},"status":{{"state":)"
+        R"("{}","sequence":{},"cold_remaining":"0ms"}}}})",
+        to_string(relay_address_),
+        born_,
+        state_ == worker_state::draining ? "draining" : "ready",
+        state_ == worker_state::draining ? 2 : 1);
+}
+
+void soak_worker::end()
+{
+    state_ = worker_state::ended;
+    relay_->cut();
+}
+
+void soak_worker::begin_again(std::string id)
+{
+    relay_->cut();
+    id_ = std::move(id);
+    ++born_;
+    state_ = worker_state::ready;
+    open_path();
+}
+
+void soak_worker::open_path()
+{
+    if (state_ != worker_state::ended)
+    {
+        static_cast<void>(relay_->start());
+    }
+}
+
 void soak_worker::accept()
 {
     acceptor_.async_accept(
@@ -213,6 +252,8 @@
 
 void soak_daemon::start()
 {
+    ++starts_;
+    disturbed_at_ = base::monotonic_clock::now();
     namespace bp = boost::process;
     const auto log = folder_ / fmt::format("entry-{}.log", number_);
     std::FILE* out = std::fopen(log.c_str(), "a");
@@ -231,9 +272,14 @@
 
 void soak_daemon::send(int signal)
 {
-    if (running())
+    if (!running())
+    {
+        return;
+    }
+    ::kill(child_.id(), signal);
+    if (signal != SIGHUP)
     {
-        ::kill(child_.id(), signal);
+        disturbed_at_ = base::monotonic_clock::now();
     }
 }
 
@@ -248,98 +294,4 @@
     return {fmt::format("127.0.1.{}", number_ + 1), caller_port};
 }
 
-soak_caller::soak_caller(
-    asio::io_context& loop,
-    const std::vector<std::unique_ptr<soak_daemon>>& daemons,
-    ledger& seen,
-    std::uint64_t seed)
-    : loop_{loop}, daemons_{daemons}, seen_{seen}, random_{seed}, socket_{loop},
-      timer_{loop}
-{
-}
-
-void soak_caller::start()
-{
-    if (stopped_)
-    {
-        return;
-    }
-    std::uniform_int_distribution<std::size_t> pick{0, daemons_.size() - 1};
-    const auto where = daemons_[pick(random_)]->callers();
-    id_ = fmt::format("{:016x}", random_());
-    const bool idempotent = random_() % 2 == 0;
-    seen_.attempts[id_] = {
-        .idempotent = idempotent, .sent_at = base::monotonic_clock::now()};
-    request_ = fmt::format(
-        "{} /{}/ HTTP/1.1\r\nHost: desk.example\r\n{}: {}\r\nCookie: "
-        "X-Waxwingvalve-Affinity-Key={}\r\nX-Waxwingvalve-Request-Deadline: "
-        "2000\r\n{}\r\n",
-        idempotent ? "GET" : "POST",
-        idempotent ? "safe" : "unsafe",
-        attempt_field,
-        id_,
-        random_() % 20,
-        idempotent ? "" : "Content-Length: 0\r\n");
-    answer_.clear();
-    socket_ = tcp::socket{loop_};
-    timer_.expires_after(caller_time);
-    timer_.async_wait(
-        [self = shared_from_this()](const error_code& cancelled)
-        {
-            error_code ignored;
-            if (!cancelled)
-            {
-                self->socket_.close(ignored);
-            }
-        });
-    socket_.async_connect(
-        {asio::ip::make_address(where.address), where.port},
-        [self = shared_from_this()](const error_code& failure)
-        { failure ? self->pause() : self->send(); });
-}
-
-void soak_caller::send()
-{
-    asio::async_write(
-        socket_,
-        asio::buffer(request_),
-        [self = shared_from_this()](const error_code&, std::size_t)
-        {
-            asio::async_read_until(
-                self->socket_,
-                asio::dynamic_buffer(self->answer_),
-                "\r\n\r\n",
-                [self](const error_code& failure, std::size_t)
-                {
-                    if (!failure)
-                    {
-                        self->note_answer();
-                    }
-                    self->pause();
-                });
-        });
-}
-
-// Bodies of these workers and daemons come in one piece with their head.
-void soak_caller::note_answer()
-{
-    auto& record = seen_.attempts[id_];
-    record.status = static_cast<unsigned>(std::stoul(answer_.substr(9, 3)));
-    const auto body = answer_.substr(answer_.find("\r\n\r\n") + 4);
-    const bool own = !value_of(answer_, signature_field).empty();
-    if (record.status == 200 && (!own || body != id_))
-    {
-        seen_.broken.push_back("wrong answer: " + id_);
-    }
-}
-
-void soak_caller::pause()
-{
-    error_code ignored;
-    socket_.close(ignored);
-    timer_.expires_after(20ms);
-    timer_.async_wait([self = shared_from_this()](const error_code&)
-                      { self->start(); });
-}
-
 } // namespace waxwingvalve::soak
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -1,18 +1,19 @@
 // What the fault soak runs: the real daemon as processes on loopback, and in
-// this process the store, the workers behind relays, and the callers.
+// this process the workers behind relays.
 //
 // Faults come from outside the daemons: signals, relays that delay, cut and
-// silence, and a store that refuses or loses answers. The promises are checked
-// from what workers and callers see.
+// silence, and a store that refuses, loses answers or loses writes. The
+// promises are checked from what workers and callers see.
 #pragma once
 
 #include <chrono>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -21,7 +22,6 @@
 #include <boost/process.hpp>
 
 #include "base/time.hpp"
-#include "platform/fake_store.hpp"
 #include "stand_ins/link/relay.hpp"
 
 namespace waxwingvalve::soak
@@ -29,6 +29,25 @@
 
 using tcp = boost::asio::ip::tcp;
 
+// The users' bounds: a daemon is bound once it and the store have been without
+// disturbance for `contact_time`.
+constexpr std::chrono::milliseconds contact_time{4'000};
+constexpr std::chrono::milliseconds configuration_bound{2'500};
+constexpr std::chrono::milliseconds rollback_slack{250};
+
+constexpr std::string_view attempt_field = "X-Waxwingvalve-Attempt-Id";
+constexpr std::string_view signature_field =
+    "X-Waxwingvalve-Response-Signature";
+
+// The value of a header field in the head of a message; empty without one.
+std::string value_of(const std::string& head, std::string_view field);
+
+// Runs `action` on the loop after `time`.
+void later(
+    boost::asio::io_context& loop,
+    std::chrono::milliseconds time,
+    std::function<void()> action);
+
 // Everything that workers and callers saw of one attempt.
 struct attempt_record
 {
@@ -47,6 +66,13 @@
     std::map<std::string, base::instant> last_run{};
 };
 
+enum class worker_state : std::uint8_t
+{
+    ready,
+    draining,
+    ended,
+};
+
 // A worker that runs a request for some time and answers with its id. Its
 // address is that of the relay before it.
 class soak_worker
@@ -59,8 +85,18 @@
         std::uint64_t seed);
 
     const std::string& id() const { return id_; }
-    base::endpoint address() const { return relay_address_; }
     stand_ins::relay& path() { return *relay_; }
+    worker_state state() const { return state_; }
+    // What the worker reports to the store.
+    std::string entry() const;
+
+    void drain() { state_ = worker_state::draining; }
+    // Ends without a word: connections break and new ones are refused.
+    void end();
+    // Starts a new incarnation, under the same id or another one.
+    void begin_again(std::string id);
+    // Opens the path again after a cut, unless the worker has ended.
+    void open_path();
 
 private:
     struct connection;
@@ -75,6 +111,8 @@
     std::mt19937_64 random_;
     tcp::acceptor acceptor_;
     base::endpoint relay_address_{};
+    worker_state state_{worker_state::ready};
+    int born_{1};
     std::unique_ptr<stand_ins::relay> relay_;
 };
 
@@ -94,43 +132,23 @@
     void send(int signal);
     bool running();
     base::endpoint callers() const;
+    int number() const { return number_; }
+    // Counts the processes, so that two of them can be told apart.
+    int starts() const { return starts_; }
+    // Whether a kill, a stop, a pause or a start is long enough ago.
+    bool calm(base::instant at) const
+    {
+        return at >= disturbed_at_ + contact_time;
+    }
 
 private:
     int number_;
+    int starts_{0};
+    base::instant disturbed_at_{};
     std::filesystem::path folder_;
     std::filesystem::path program_;
     std::filesystem::path settings_;
     boost::process::child child_;
 };
 
-// One caller after another request on a connection of its own.
-class soak_caller : public std::enable_shared_from_this<soak_caller>
-{
-public:
-    soak_caller(
-        boost::asio::io_context& loop,
-        const std::vector<std::unique_ptr<soak_daemon>>& daemons,
-        ledger& seen,
-        std::uint64_t seed);
-
-    void start();
-    void stop() { stopped_ = true; }
-
-private:
-    void send();
-    void note_answer();
-    void pause();
-
-    boost::asio::io_context& loop_;
-    const std::vector<std::unique_ptr<soak_daemon>>& daemons_;
-    ledger& seen_;
-    std::mt19937_64 random_;
-    tcp::socket socket_;
-    boost::asio::steady_timer timer_;
-    std::string id_{};
-    std::string request_{};
-    std::string answer_{};
-    bool stopped_{false};
-};
-
 } // namespace waxwingvalve::soak
