--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -59,6 +59,8 @@
     void inject();
     void end_faults();
     void end_daemon(soak_daemon& one, int signal);
+    void start_when_gone(
+        soak_daemon& one, int process, std::chrono::milliseconds time);
     void disturb_path(soak_worker& of);
     void disturb_worker(soak_worker& one);
     void end_worker(soak_worker& one);
@@ -120,15 +122,31 @@
 {
     one.send(SIGCONT);
     one.send(signal);
+    start_when_gone(
+        one,
+        one.starts(),
+        std::chrono::milliseconds{signal == SIGKILL ? draw(100, 900) : 5'000});
+}
+
+// A process that is paused after its signal ends later than its stop time.
+void soak_run::start_when_gone(
+    soak_daemon& one, int process, std::chrono::milliseconds time)
+{
     later(
         loop_,
-        std::chrono::milliseconds{signal == SIGKILL ? draw(100, 900) : 5'000},
-        [&one]
+        time,
+        [this, &one, process]
         {
-            if (!one.running())
+            if (one.starts() != process)
+            {
+                return;
+            }
+            if (one.running())
             {
-                one.start();
+                start_when_gone(one, process, 100ms);
+                return;
             }
+            one.start();
         });
 }
 
