--- a/tests/platform/store_watch_fixture.cpp
+++ b/tests/platform/store_watch_fixture.cpp
@@ -68,6 +68,17 @@
     return member;
 }
 
+void announce_unreachable_daemon(front::fleet_view& view)
+{
+    auto member = make_local_member();
+    member.name = "zebra";
+    member.incarnation = 1;
+    member.control_address = {"127.0.0.1", 9};
+    front::steering::fleet_beat beat;
+    beat.sender = member;
+    view.members.receive(beat, base::monotonic_clock::now());
+}
+
 store_watch_fixture::store_watch_fixture()
 {
     store.put("op", "config", make_configuration(5));
--- a/tests/platform/store_watch_fixture.hpp
+++ b/tests/platform/store_watch_fixture.hpp
@@ -28,6 +28,9 @@
 
 front::steering::fleet_member make_local_member();
 
+// Tells a view of a daemon that is live and cannot be reached.
+void announce_unreachable_daemon(front::fleet_view& view);
+
 struct store_watch_fixture
 {
     static constexpr std::chrono::milliseconds report_interval{1'500};
--- a/tests/platform/store_watch_test.cpp
+++ b/tests/platform/store_watch_test.cpp
@@ -132,6 +132,36 @@
     BOOST_TEST(fixture.has_worker("i-2"));
 }
 
+// Guards against requests to a worker that has left, because a daemon that was
+// cut off took the end of its cut for the return of the store.
+BOOST_AUTO_TEST_CASE(worker_that_left_is_dropped_at_once_after_an_own_cut)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    announce_unreachable_daemon(fixture.view);
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(2500ms);
+    fixture.store.remove("servers", "i-1");
+    fixture.store.set_fault(store_fault::none);
+    BOOST_TEST(
+        fixture.wait_until([&] { return !fixture.has_worker("i-1"); }, 1500ms));
+}
+
+// The other way round: other daemons answer, so the store was away.
+BOOST_AUTO_TEST_CASE(expired_worker_is_kept_when_other_daemons_answer)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    relay_daemon other{fixture, fixture.store.address()};
+    other.announce_to(fixture.view, "zebra");
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(2500ms);
+    fixture.store.remove("servers", "i-1");
+    fixture.store.set_fault(store_fault::none);
+    fixture.run_for(1500ms);
+    BOOST_TEST(fixture.has_worker("i-1"));
+}
+
 // Guards against keeping an expired worker forever when this daemon, after a
 // store outage, reads from another daemon of its region instead of the store.
 BOOST_AUTO_TEST_CASE(expired_workers_are_dropped_when_reading_from_peer)
