Base: the byte budget moves below the network code

The readers of messages in net/ have to count what they buffer against the same budgets as front/. The budget knows nothing of decisions, so it moves from decision/limits to base; nothing else changes.

--- a/packages/decision/limits/byte_budget.cpp
+++ b/packages/base/byte_budget.cpp
@@ -1,6 +1,6 @@
-#include "decision/limits/byte_budget.hpp"
+#include "base/byte_budget.hpp"
 
-namespace waxwingvalve::decision::limits
+namespace waxwingvalve::base
 {
 
 bool byte_budget::try_take(std::uint64_t bytes)
@@ -51,4 +51,4 @@
     bytes_ = bytes;
 }
 
-} // namespace waxwingvalve::decision::limits
+} // namespace waxwingvalve::base
--- a/packages/decision/limits/byte_budget.hpp
+++ b/packages/base/byte_budget.hpp
@@ -11,7 +11,7 @@
 #include <cstdint>
 #include <utility>
 
-namespace waxwingvalve::decision::limits
+namespace waxwingvalve::base
 {
 
 class byte_budget
@@ -65,4 +65,4 @@
     std::uint64_t bytes_{0};
 };
 
-} // namespace waxwingvalve::decision::limits
+} // namespace waxwingvalve::base
--- a/packages/front/body_memory.hpp
+++ b/packages/front/body_memory.hpp
@@ -3,13 +3,11 @@
 
 #include <cstdint>
 
-#include "decision/limits/byte_budget.hpp"
+#include "base/byte_budget.hpp"
 
 namespace waxwingvalve::front
 {
 
-namespace limits = decision::limits;
-
 // Requests and answers have a half each, so that uploads that wait for a worker
 // leave room for the answers of others.
 struct body_memory
@@ -19,8 +17,8 @@
     {
     }
 
-    limits::byte_budget requests;
-    limits::byte_budget answers;
+    base::byte_budget requests;
+    base::byte_budget answers;
 };
 
 } // namespace waxwingvalve::front
--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -228,14 +228,14 @@
     parser_.reset();
     request_started_at_.reset();
     auto pending = std::make_shared<pending_request>();
-    pending->answer_bytes = limits::byte_hold{context_.memory.answers};
+    pending->answer_bytes = base::byte_hold{context_.memory.answers};
     pending->head_request = message.method() == http::verb::head;
     pending->close_after_answer = !keep_alive;
     pending->flow = std::make_shared<request_flow>(
         context_,
         to_request(std::move(message)),
         std::exchange(
-            body_bytes_, limits::byte_hold{context_.memory.requests}));
+            body_bytes_, base::byte_hold{context_.memory.requests}));
     pending_.push_back(std::move(pending));
     if (!keep_alive)
     {
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -68,7 +68,7 @@
         std::shared_ptr<request_flow> flow{};
         std::optional<net::http_response> answer{};
         // Memory of the answer's body.
-        limits::byte_hold answer_bytes{};
+        base::byte_hold answer_bytes{};
         bool started{};
         bool head_request{};
         // Close the connection after this answer.
@@ -101,11 +101,11 @@
     std::optional<parser_type> parser_;
     std::deque<pending_ptr> pending_;
     // Memory of the body that is being read.
-    limits::byte_hold body_bytes_;
+    base::byte_hold body_bytes_;
     std::string output_;
     std::string output_in_flight_;
     // Memory of the answers that are being written.
-    limits::byte_hold output_bytes_;
+    base::byte_hold output_bytes_;
     base::instant idle_since_;
     // When parsing of the current, incomplete request began.
     std::optional<base::instant> request_started_at_;
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -50,7 +50,7 @@
 request_flow::request_flow(
     serving_context& context,
     net::http_request request,
-    limits::byte_hold body_bytes)
+    base::byte_hold body_bytes)
     : context_{context}, request_{std::move(request)},
       body_{std::make_shared<const std::string>(std::move(request_.body))},
       body_bytes_{std::move(body_bytes)},
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -31,7 +31,7 @@
     request_flow(
         serving_context& context,
         net::http_request request,
-        limits::byte_hold body_bytes);
+        base::byte_hold body_bytes);
     ~request_flow();
     request_flow(const request_flow&) = delete;
     request_flow& operator=(const request_flow&) = delete;
@@ -89,7 +89,7 @@
     net::http_request request_;
     // Shared with the connections that send it.
     std::shared_ptr<const std::string> body_;
-    limits::byte_hold body_bytes_;
+    base::byte_hold body_bytes_;
     std::string attempt_id_;
     std::string object_;
     std::string service_;
@@ -119,7 +119,7 @@
     // Unsuccessful answer of a worker, passed on if no retry succeeds.
     std::optional<net::http_response> last_answer_;
     // Memory of the newest answer.
-    limits::byte_hold answer_bytes_;
+    base::byte_hold answer_bytes_;
     bool caller_gone_{false};
     bool done_{false};
 };
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -25,7 +25,7 @@
 }
 
 void add_body_bytes(
-    std::string& text, std::string_view kind, const limits::byte_budget& budget)
+    std::string& text, std::string_view kind, const base::byte_budget& budget)
 {
     text += fmt::format(
         "waxwingvalve_body_bytes{{of=\"{}\"}} {}\n", kind, budget.used());
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -80,7 +80,7 @@
     state(
         asio::io_context& context,
         base::endpoint address,
-        decision::limits::byte_budget& memory)
+        base::byte_budget& memory)
         : worker_address{std::move(address)}, socket{context}, timer{context},
           answer_memory{memory}, answer_bytes{memory}
     {
@@ -92,9 +92,9 @@
     beast::flat_buffer buffer;
     std::optional<answer_parser> parser;
     upstream_request request;
-    decision::limits::byte_budget& answer_memory;
+    base::byte_budget& answer_memory;
     // Memory of the answer that is being read.
-    decision::limits::byte_hold answer_bytes;
+    base::byte_hold answer_bytes;
     exchange_handler handler;
     idle_handler idle;
     bool connected{false};
@@ -129,7 +129,7 @@
 upstream_connection::upstream_connection(
     asio::io_context& context,
     base::endpoint worker_address,
-    decision::limits::byte_budget& answer_memory)
+    base::byte_budget& answer_memory)
     : state_{std::make_unique<state>(
           context, std::move(worker_address), answer_memory)}
 {
@@ -412,7 +412,7 @@
         .answer = to_response(std::move(message)),
         .reused = reused,
         .answer_bytes = std::exchange(
-            answer_bytes, decision::limits::byte_hold{answer_memory})};
+            answer_bytes, base::byte_hold{answer_memory})};
     if (!reusable)
     {
         close();
--- a/packages/front/upstream_connection.hpp
+++ b/packages/front/upstream_connection.hpp
@@ -16,7 +16,7 @@
 
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
-#include "decision/limits/byte_budget.hpp"
+#include "base/byte_budget.hpp"
 #include "net/http_message.hpp"
 
 namespace waxwingvalve::front
@@ -65,7 +65,7 @@
     // Error description; empty when answered.
     std::string detail{};
     // Memory of the answer's body.
-    decision::limits::byte_hold answer_bytes{};
+    base::byte_hold answer_bytes{};
 };
 
 // A persistent connection to one worker.
@@ -88,7 +88,7 @@
     upstream_connection(
         boost::asio::io_context& context,
         base::endpoint worker_address,
-        decision::limits::byte_budget& answer_memory);
+        base::byte_budget& answer_memory);
     ~upstream_connection();
     upstream_connection(const upstream_connection&) = delete;
     upstream_connection& operator=(const upstream_connection&) = delete;
--- a/packages/front/upstream_pool.hpp
+++ b/packages/front/upstream_pool.hpp
@@ -30,7 +30,7 @@
     // Bodies of answers are taken from `answer_memory`.
     upstream_pool(
         boost::asio::io_context& context,
-        decision::limits::byte_budget& answer_memory)
+        base::byte_budget& answer_memory)
         : context_{context}, answer_memory_{answer_memory}
     {
     }
@@ -60,7 +60,7 @@
         base::instant now) const;
 
     boost::asio::io_context& context_;
-    decision::limits::byte_budget& answer_memory_;
+    base::byte_budget& answer_memory_;
     // Ordered by last use, most recent last.
     std::map<std::string, std::vector<connection_ptr>> idle_;
 };
--- a/tests/decision/limits/byte_budget_test.cpp
+++ b/tests/base/byte_budget_test.cpp
@@ -6,10 +6,10 @@
 #include <limits>
 #include <vector>
 
-#include "decision/limits/byte_budget.hpp"
+#include "base/byte_budget.hpp"
 
-using waxwingvalve::decision::limits::byte_budget;
-using waxwingvalve::decision::limits::byte_hold;
+using waxwingvalve::base::byte_budget;
+using waxwingvalve::base::byte_hold;
 
 BOOST_AUTO_TEST_SUITE(byte_budgets)
 
--- a/tests/bench/upload_bench.cpp
+++ b/tests/bench/upload_bench.cpp
@@ -108,7 +108,7 @@
         route.timeout = milliseconds{5'000};
     }
     front.view.adopt(configuration);
-    front.memory.requests = decision::limits::byte_budget{memory_bytes};
+    front.memory.requests = base::byte_budget{memory_bytes};
 
     timing_worker worker{front.loop};
     const auto worker_link = free_address(front.loop);
