Front: bytes read while the pipeline is full stay in their place

Callers with more than 32 requests in the pipeline of a connection had later ones run twice (UNASKED, TWICE for the ones that are not idempotent), and the ones that followed were not read.

Cause: the pending read wrote behind the unparsed bytes of the same buffer. When an answer let the rest be parsed, the empty buffer moved back to its front, and the read was committed over bytes that had been parsed before. Evidence: the new test, before the change: 40 of 60 requests arrive, requests 32 to 39 run twice. Other readers don't parse while a read is pending.

Now a read has memory of its own and is appended when it ends.

Test: caller_connections/requests_beyond_the_pipeline_limit_run_once_each, which failed before; front_test passes.

--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -27,7 +27,6 @@
 constexpr std::size_t max_open_requests = 32;
 // Limit on buffered bytes of requests that are not parsed yet.
 constexpr std::size_t max_read_ahead_bytes = 128 * 1024;
-constexpr std::size_t read_chunk_bytes = 8 * 1024;
 // Limit on the time to write answers to a caller that reads slowly.
 constexpr std::chrono::seconds write_timeout{20};
 // Time to wait after shutdown for the caller to close its side. Closing at once
@@ -118,7 +117,7 @@
     }
     reading_ = true;
     socket_.async_read_some(
-        buffer_.prepare(read_chunk_bytes),
+        asio::buffer(received_),
         [self = shared_from_this()](
             const beast::error_code& failure, std::size_t size)
         {
@@ -132,7 +131,9 @@
                 self->handle_disconnect(failure.message());
                 return;
             }
-            self->buffer_.commit(size);
+            self->buffer_.commit(asio::buffer_copy(
+                self->buffer_.prepare(size),
+                asio::buffer(self->received_, size)));
             self->last_input_at_ = base::monotonic_clock::now();
             self->process_input();
             self->read();
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -7,6 +7,7 @@
 // twice.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -97,6 +98,9 @@
     serving_context& context_;
     boost::asio::ip::tcp::socket socket_;
     closed_handler on_closed_;
+    // Target of the pending read. It is not a part of buffer_, which is consumed
+    // while a read is pending and then reuses its space.
+    std::array<char, 8 * 1024> received_;
     boost::beast::flat_buffer buffer_;
     std::optional<parser_type> parser_;
     std::deque<pending_ptr> pending_;
--- a/tests/front/caller_connection_test.cpp
+++ b/tests/front/caller_connection_test.cpp
@@ -4,7 +4,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <map>
 #include <ostream>
+#include <string>
+#include <vector>
+
+#include <boost/asio/write.hpp>
 
 #include "front/front_fixture.hpp"
 
@@ -118,6 +123,58 @@
     BOOST_TEST(response.find("first") < response.find("second"));
 }
 
+// Guards against requests that were read before being taken for new ones: a
+// caller fills the pipeline, and more bytes arrive after the rest of the first
+// ones has been parsed.
+BOOST_AUTO_TEST_CASE(requests_beyond_the_pipeline_limit_run_once_each)
+{
+    constexpr int first_requests = 40;
+    constexpr int all_requests = 60;
+    // Enough for a full pipeline at once.
+    constexpr int worker_count = 16;
+    front_fixture front;
+    std::vector<const scripted_worker*> workers;
+    for (int i = 0; i < worker_count; ++i)
+    {
+        workers.push_back(&front.add_worker(
+            "w" + std::to_string(i),
+            [](int) { return delayed_success(30ms, "x"); }));
+    }
+    std::string first;
+    std::string rest;
+    for (int i = 0; i < all_requests; ++i)
+    {
+        (i < first_requests ? first : rest) +=
+            idempotent_request(std::to_string(i));
+    }
+    tcp::socket caller{front.loop};
+    caller.connect(
+        {boost::asio::ip::make_address(front.address.address),
+         front.address.port});
+    boost::asio::write(caller, boost::asio::buffer(first));
+    front.run_for(400ms);
+    boost::asio::write(caller, boost::asio::buffer(rest));
+    front.run_for(400ms);
+
+    std::map<std::string, int> runs;
+    for (const auto* worker : workers)
+    {
+        for (const auto& head : worker->requests())
+        {
+            const auto id = head.find("Attempt-Id: ");
+            ++runs[head.substr(id, head.find("\r\n", id) - id)];
+        }
+    }
+    BOOST_TEST(runs.size() == static_cast<std::size_t>(all_requests));
+    for (const auto& [id, count] : runs)
+    {
+        BOOST_TEST_CONTEXT(id)
+        {
+            BOOST_TEST(count == 1);
+        }
+    }
+}
+
 // If the connection closed after the first answer, the caller would resend the
 // second, non-idempotent request; it must not run before that answer is sent.
 BOOST_AUTO_TEST_CASE(non_idempotent_request_waits_for_earlier_answers)
