--- a/packages/net/message_reader.cpp
+++ b/packages/net/message_reader.cpp
@@ -141,7 +141,9 @@
     }
     const auto line = used - content;
     framing_bytes_ += line > plain_line_bytes ? line : 0;
-    return framing_bytes_ <= limits_.framing_bytes;
+    const auto unparsed = parser_->is_done() ? 0 : buffer_.size();
+    // Nothing was parsed: what is buffered is a part of a line or trailer.
+    return framing_bytes_ + (used == 0 ? unparsed : 0) <= limits_.framing_bytes;
 }
 
 template <bool is_request>
--- a/tests/front/framing_test.cpp
+++ b/tests/front/framing_test.cpp
@@ -96,6 +96,32 @@
         front.exchange(idempotent_request("2"), 300ms), "HTTP/1.1 200"));
 }
 
+// Guards against review/3: bytes without end where the size of a chunk is due
+// took the daemon's memory.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_endless_chunk_size_is_refused)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const auto response = answer_to(
+        std::string{chunked_head} + "3\r\nabc\r\n" +
+        std::string(1'000'000, '1'));
+    BOOST_TEST(contains(response, "HTTP/1.1 502"));
+    // At once, in place of the route's timeout of 800 ms.
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 750ms));
+}
+
+// The same from a caller.
+BOOST_AUTO_TEST_CASE(a_request_with_an_endless_chunk_size_is_refused)
+{
+    front_fixture front;
+    auto& worker = front.add_worker("a", reply_success);
+    const auto response = front.exchange(
+        chunked_request("1", std::string(1'000'000, '1')), 300ms);
+    BOOST_TEST(contains(response, "HTTP/1.1 431"));
+    BOOST_TEST(contains(response, "2022"));
+    BOOST_TEST(worker.requests().empty());
+    BOOST_TEST(front.memory.requests.used() == 0U);
+}
+
 // Guards against an answer that breaks off in its head and reaches the caller
 // as a success without a body.
 BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_is_no_success)
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -71,6 +71,9 @@
 const std::string oversized_trailer =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nLong: " +
     std::string(70'000, 'x') + "\r\n\r\n";
+const std::string endless_size =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+    std::string(100'000, '1');
 
 const std::array rows{
     row{"whole",
@@ -127,6 +130,7 @@
         ""},
     // Guards against the end of the process: Beast's fields throw for it.
     row{"a trailer that is too large", "GET", oversized_trailer, 0, ""},
+    row{"a size of a chunk without end", "GET", endless_size, 0, ""},
     row{"half a head", "GET", "HTTP/1.1 200 OK\r\nContent-Le", 0, ""},
     row{"a head without its last line end",
         "GET",
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -215,6 +215,11 @@
      "0\r\nLong: " +
          std::string(70'000, 'x') + "\r\n\r\n",
      "<2022>"},
+    // Guards against a buffer without bound.
+    {"a size of a chunk without end",
+     "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+         std::string(100'000, '1'),
+     "<2022>"},
     {"a nul byte in a field",
      std::string{"GET /a HTTP/1.1\r\nHost: a\0b\r\n\r\n", 29},
      "<2001>"},
--- a/tests/net/message_reader_test.cpp
+++ b/tests/net/message_reader_test.cpp
@@ -52,6 +52,89 @@
     return read_event::need_more;
 }
 
+// Feeds `unit` again and again, up to `most` bytes. Returns how many bytes were
+// given before the reader refused the message; `most` if it never did.
+template <class Reader>
+std::size_t feed_without_end(
+    Reader& reader, std::string_view unit, std::size_t most)
+{
+    std::size_t given = 0;
+    while (given < most)
+    {
+        given += unit.size();
+        if (feed(reader, unit, unit.size()) == read_event::refused)
+        {
+            return given;
+        }
+    }
+    return most;
+}
+
+struct endless_input
+{
+    std::string_view name;
+    std::string_view begin;
+    std::string_view repeated;
+    message_fault fault;
+};
+
+std::ostream& operator<<(std::ostream& out, const endless_input& input)
+{
+    return out << input.name;
+}
+
+constexpr std::array endless_answers{
+    endless_input{
+        "a size of a chunk",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "1111111111111111",
+        message_fault::framing_too_large},
+    endless_input{
+        "bytes where the second size is due",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "zzzzzzzzzzzzzzzz",
+        message_fault::framing_too_large},
+    endless_input{
+        "an extension of a chunk",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=\"",
+        "\r\n\r\n\r\n\r\n",
+        message_fault::framing_too_large},
+    endless_input{
+        "chunks with extensions",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa=b\r\nx\r\n",
+        message_fault::framing_too_large},
+    endless_input{
+        "chunks with padded sizes",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "00000000000000000000000000000000000001\r\nx\r\n",
+        message_fault::framing_too_large},
+    endless_input{
+        "trailer fields",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "Name: value\r\n",
+        message_fault::framing_too_large},
+    endless_input{
+        "one trailer field",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nName: ",
+        "vvvvvvvvvvvvvvvv",
+        message_fault::framing_too_large},
+    endless_input{
+        "one header field",
+        "HTTP/1.1 200 OK\r\nName: ",
+        "vvvvvvvvvvvvvvvv",
+        message_fault::head_too_large},
+    endless_input{
+        "chunks",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "8\r\nabcdefgh\r\n",
+        message_fault::body_too_large},
+    endless_input{
+        "a body without length",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "abcdefgh",
+        message_fault::body_too_large}};
+
 struct whole_answer
 {
     std::string_view name;
@@ -91,6 +174,23 @@
 
 BOOST_AUTO_TEST_SUITE(message_readers)
 
+// Guards against a peer that fills the memory with bytes that complete nothing.
+BOOST_DATA_TEST_CASE(
+    bytes_without_end_are_refused_within_the_limits, endless_answers, input)
+{
+    net::answer_reader reader;
+    reader.begin(limits);
+    BOOST_REQUIRE(feed(reader, input.begin, 8'192) == read_event::need_more);
+    const std::size_t bound =
+        limits.head_bytes + limits.framing_bytes + 10 * limits.body_bytes;
+    const auto given = feed_without_end(reader, input.repeated, 2 * bound);
+    BOOST_TEST(given < bound);
+    BOOST_TEST((reader.fault() == input.fault));
+    BOOST_TEST(
+        reader.buffered() <=
+        limits.head_bytes + limits.framing_bytes + input.repeated.size());
+}
+
 // Guards against the end of the process by a long field in a trailer, for which
 // Beast's container of fields throws.
 BOOST_AUTO_TEST_CASE(a_trailer_over_the_limit_is_refused)
