Net: the end of a chunked body may come in any pieces

Callers lost all requests in hand when a chunked message without content came in small pieces: the daemon ended with SIGABRT, also by bytes sent to its look-up and control ports.

Cause: Beast asserts that, once the line of the last chunk was seen, it is offered at least five bytes, and the release builds compiled the assertion in.

Evidence: on framing/a_chunked_request_without_bytes_may_come_in_pieces and its twin in http_servers end with 'Assertion n >= 5' in parse_chunk_header. With the reader before this commit the message tests fail in the same way where they send single bytes.

The reader offers the rest of a chunked body in five bytes or more, which are always to come, so the assertion can't be reached.

Tests: message_readers/a_message_in_pieces_of_any_size_is_read_whole, framing/a_chunked_request_without_bytes_may_come_in_pieces, http_servers/a_chunked_body_without_bytes_may_come_in_pieces.

--- a/packages/net/message_reader.cpp
+++ b/packages/net/message_reader.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t uncounted_bytes = 16 * 1024;
 // A chunk's size line with the line end before it: CRLF, 16 digits, CRLF.
 constexpr std::size_t plain_line_bytes = 20;
+// The shortest end of a chunked body: "0", CRLF, CRLF.
+constexpr std::size_t chunk_tail_bytes = 5;
 // A larger buffer is given back when it is empty.
 constexpr std::size_t kept_buffer_bytes = 16 * 1024;
 
@@ -82,10 +84,21 @@
     return read_event::refused;
 }
 
+// True if the parser can be given the buffered bytes. Beast asserts that the
+// end of a chunked body, once its first line was seen, is never offered in
+// fewer bytes than the shortest one has. At least as many are always to come
+// until that body is complete.
+template <bool is_request>
+bool message_reader<is_request>::has_chunk_tail() const
+{
+    return !parser_->is_header_done() || !parser_->chunked() ||
+           buffer_.size() >= chunk_tail_bytes;
+}
+
 template <bool is_request>
 read_event message_reader<is_request>::next()
 {
-    while (buffer_.size() > 0)
+    while (buffer_.size() > 0 && has_chunk_tail())
     {
         const bool in_head = !parser_->is_header_done();
         const auto body_before = parser_->message().body.size();
--- a/packages/net/message_reader.hpp
+++ b/packages/net/message_reader.hpp
@@ -92,6 +92,7 @@
     bool framing_within_limits(std::size_t used, std::size_t content);
     bool count_memory();
     std::uint64_t bytes_taken() const;
+    bool has_chunk_tail() const;
     void shrink_buffer();
 
     // Invariant: while reading, holds the body received, or the length stated,
--- a/tests/front/framing_test.cpp
+++ b/tests/front/framing_test.cpp
@@ -63,6 +63,26 @@
     return response;
 }
 
+// Sends each piece in a segment of its own.
+std::string exchange_in_pieces(
+    front_fixture& front, std::string_view bytes, std::size_t whole)
+{
+    tcp::socket socket{front.loop};
+    socket.connect(
+        {asio::ip::make_address(front.address.address), front.address.port});
+    asio::write(socket, asio::buffer(bytes.substr(0, whole)));
+    front.run_for(20ms);
+    for (const char byte : bytes.substr(whole))
+    {
+        asio::write(socket, asio::buffer(&byte, 1));
+        front.run_for(5ms);
+    }
+    front.run_for(50ms);
+    std::string response(socket.available(), '\0');
+    response.resize(socket.read_some(asio::buffer(response)));
+    return response;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(framing)
@@ -122,6 +142,18 @@
     BOOST_TEST(front.memory.requests.used() == 0U);
 }
 
+// Guards against the end of the process: Beast's parser asserts that the end of
+// a chunked body does not come in such pieces.
+BOOST_AUTO_TEST_CASE(a_chunked_request_without_bytes_may_come_in_pieces)
+{
+    front_fixture front;
+    auto& worker = front.add_worker("a", reply_success);
+    const auto bytes = chunked_request("1", "0\r\n\r\n");
+    const auto response = exchange_in_pieces(front, bytes, bytes.size() - 2);
+    BOOST_TEST(contains(response, "HTTP/1.1 200"));
+    BOOST_TEST(worker.requests().size() == 1U);
+}
+
 // Guards against an answer that breaks off in its head and reaches the caller
 // as a success without a body.
 BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_is_no_success)
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -240,6 +240,24 @@
     BOOST_TEST(count(answer, "HTTP/1.1 ") == 1U);
 }
 
+// Guards against the end of the process: a Beast parser asserts not to see
+// these pieces.
+BOOST_AUTO_TEST_CASE(a_chunked_body_without_bytes_may_come_in_pieces)
+{
+    auto socket = connect();
+    const std::array<std::string, 3> pieces{
+        "POST /a HTTP/1.1\r\n" + close_field +
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        "\r",
+        "\n"};
+    for (const auto& piece : pieces)
+    {
+        boost::asio::write(socket, boost::asio::buffer(piece));
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    BOOST_TEST(read_all(socket).find("[POST /a ]") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_order)
 {
     const auto answer =
--- a/tests/net/message_reader_test.cpp
+++ b/tests/net/message_reader_test.cpp
@@ -180,7 +180,7 @@
 {
     net::answer_reader reader;
     reader.begin(limits);
-    BOOST_REQUIRE(feed(reader, input.begin, 8'192) == read_event::need_more);
+    BOOST_REQUIRE(feed(reader, input.begin, 1) == read_event::need_more);
     const std::size_t bound =
         limits.head_bytes + limits.framing_bytes + 10 * limits.body_bytes;
     const auto given = feed_without_end(reader, input.repeated, 2 * bound);
@@ -197,7 +197,7 @@
 {
     const std::string trailer =
         "0\r\nLong: " + std::string(70'000, 'x') + "\r\n\r\n";
-    for (const std::size_t piece : {64UL, 8'192UL, 100'000UL})
+    for (const std::size_t piece : {1UL, 64UL, 8'192UL, 100'000UL})
     {
         BOOST_TEST_CONTEXT("pieces of " << piece)
         {
@@ -234,6 +234,28 @@
     BOOST_TEST((net::find_field(received.message.fields, "Long") == value));
 }
 
+// Guards against the end of the process by the end of a chunked body that comes
+// in pieces, which a Beast parser asserts not to see.
+BOOST_DATA_TEST_CASE(
+    a_message_in_pieces_of_any_size_is_read_whole, whole_answers, answer)
+{
+    for (std::size_t piece = 1; piece <= answer.bytes.size(); ++piece)
+    {
+        BOOST_TEST_CONTEXT("pieces of " << piece)
+        {
+            net::answer_reader reader;
+            reader.begin(limits);
+            BOOST_REQUIRE(
+                (feed(reader, answer.bytes, piece) == read_event::message));
+            const auto received = reader.take();
+            BOOST_TEST(received.message.body == answer.body);
+            BOOST_TEST((net::find_field(received.message.fields, "A") == "b"));
+            BOOST_TEST(received.message.fields.size() == 1U);
+            BOOST_TEST(reader.buffered() == 0U);
+        }
+    }
+}
+
 // Guards against an answer that breaks off and is passed on as complete: in its
 // head, in a chunk or before the stated length.
 BOOST_DATA_TEST_CASE(
