--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -22,6 +22,23 @@
 constexpr std::array unreadable_values{
     "=", "==", "===", "====", "A===", "========", "QQ==QQ==", "QQ=", "*"};
 
+constexpr std::array unreadable_rows{
+    "",
+    "[]",
+    R"({"rows":[]})",
+    R"({"rows":{},"schema_version":3})",
+    R"({"rows":[],"schema_version":"3"})",
+    R"({"rows":[],"schema_version":-1})",
+    R"({"rows":[],"schema_version":99999999999999999999})",
+    // A later number that can be read does not hide the one that cannot.
+    R"({"rows":[],"schema_version":"3","era":1})",
+    R"({"rows":[],"schema_version":3,"era":"x","age_ms":1})",
+    R"({"rows":[],"schema_version":3,"age_ms":1e300})",
+    R"({"rows":[],"schema_version":3,"age_ms":9223372036854775807})",
+    R"({"rows":[7],"schema_version":3})",
+    R"({"rows":[{"key":7,"schema_version":3}],"schema_version":3})",
+    R"({"rows":[{"key":"k","schema_version":1e30}],"schema_version":3})"};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(store_clients)
@@ -50,4 +67,13 @@
     }
 }
 
+// An answer that cannot be read is not taken for rows.
+BOOST_DATA_TEST_CASE(unreadable_rows_are_refused, unreadable_rows)
+{
+    const auto rows = platform::parse_rows(sample);
+    BOOST_REQUIRE(!rows.has_value());
+    BOOST_TEST(
+        (rows.error().code == base::result_code::platform_answer_invalid));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
