--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -158,6 +158,29 @@
     }
 }
 
+// Guards against a number that is cut to 32 bits, as 1 attempt for 4294967297.
+BOOST_AUTO_TEST_CASE(a_configuration_with_a_number_too_large_is_rejected)
+{
+    for (const std::string_view field :
+         {R"("max_attempts":2)",
+          R"("priority":2)",
+          R"("weight":90)",
+          R"("max_connections":390)",
+          R"("max_header_bytes":16384)"})
+    {
+        BOOST_TEST_CONTEXT(field)
+        {
+            std::string text{valid_configuration};
+            text.replace(
+                text.find(field),
+                field.size(),
+                std::string{field.substr(0, field.find(':'))} + ":4294967297");
+            const auto parsed = platform::parse_configuration(text);
+            BOOST_TEST(!parsed.has_value());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_configurations_are_rejected)
 {
     BOOST_TEST(!platform::parse_configuration(R"({"resources":[]})"));
