Front: an answer without an id is no answer to the request in flight

Cause: upstream_connection dropped answers with another id only; one without an id passed as the answer in flight, and request_flow took its refusal for proof.

Workers send the id in every answer. After the first one with an id on a connection, those without are dropped, and the real answer follows.

--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -311,6 +311,17 @@
     auto& answer = outcome.answer;
     answer_bytes_ = std::move(outcome.answer_bytes);
     record_load(*worker, answer);
+    const bool refused =
+        answer.status == status_misdirected ||
+        net::find_field(answer.fields, context_.fields.not_executed);
+    if (refused && outcome.ambiguous && !route_->idempotent)
+    {
+        // No proof that this request did not run.
+        execution_ = execution_state::unknown;
+        context_.view.record_outcome(*worker, true, now);
+        refuse({result_code::answer_mismatched, worker->entry().id});
+        return;
+    }
     if (answer.status == status_misdirected)
     {
         // The address now belongs to another worker: the entry is outdated.
@@ -318,7 +329,7 @@
         retry_or_refuse({result_code::no_upstream, worker->entry().id}, true);
         return;
     }
-    if (net::find_field(answer.fields, context_.fields.not_executed))
+    if (refused)
     {
         const bool full = worker->load(now) >= worker->slots();
         context_.view.record_outcome(*worker, !full, now);
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -106,6 +106,8 @@
     bool used_before{false};
     bool reused{false};
     bool answer_started{false};
+    // An answer on this connection had an id.
+    bool worker_sends_ids{false};
     // An answer to an earlier request arrived: the connection must not be
     // reused.
     bool stale_answer_seen{false};
@@ -122,6 +124,7 @@
     void begin_answer();
     void fail_answer(std::string_view detail);
     void handle_message(const std::shared_ptr<upstream_connection>& self);
+    bool answers_another(const net::http_response& answer);
     void handle_interim(unsigned status);
     void handle_stale(bool keep_open);
     void finish_answer(
@@ -355,10 +358,7 @@
         handle_interim(received.message.status);
         return;
     }
-    const auto echoed =
-        net::find_field(received.message.fields, request.id_field)
-            .value_or(std::string_view{});
-    if (!request.id.empty() && !echoed.empty() && echoed != request.id)
+    if (!request.id.empty() && answers_another(received.message))
     {
         handle_stale(received.keep_alive);
         return;
@@ -366,6 +366,20 @@
     finish_answer(self, std::move(received));
 }
 
+// True if the answer cannot be the one to the request in flight.
+bool upstream_connection::state::answers_another(
+    const net::http_response& answer)
+{
+    const auto id = net::find_field(answer.fields, request.id_field);
+    if (!id)
+    {
+        // Bytes of a faulty worker, such as an earlier refusal once more.
+        return worker_sends_ids;
+    }
+    worker_sends_ids = true;
+    return *id != request.id;
+}
+
 void upstream_connection::state::handle_interim(unsigned status)
 {
     ++interim_answers;
@@ -382,7 +396,7 @@
     begin_answer();
 }
 
-// An answer to an earlier request; the expected one may still follow.
+// An answer to another request; the expected one may still follow.
 void upstream_connection::state::handle_stale(bool keep_open)
 {
     stale_answer_seen = true;
@@ -415,7 +429,8 @@
         {.status = exchange_status::answered,
          .answer = std::move(received.message),
          .reused = reused,
-         .answer_bytes = std::move(received.memory)});
+         .answer_bytes = std::move(received.memory),
+         .ambiguous = reused && !request.id.empty() && !worker_sends_ids});
     if (!closed && !handler && idle)
     {
         idle(self);
--- a/packages/front/upstream_connection.hpp
+++ b/packages/front/upstream_connection.hpp
@@ -45,7 +45,8 @@
     std::string head{};
     std::shared_ptr<const std::string> body{};
     // An answer whose header `id_field` differs from `id` belongs to an earlier
-    // request and is discarded.
+    // request and is discarded. So is one without it, if the worker has sent
+    // ids on the connection before.
     std::string id_field{};
     std::string id{};
     // The answer has no body.
@@ -66,6 +67,9 @@
     std::string detail{};
     // Memory of the answer's body.
     base::byte_hold answer_bytes{};
+    // The answer may belong to an earlier request on the connection: it has no
+    // id, nor had any before it.
+    bool ambiguous{};
 };
 
 // A persistent connection to one worker.
--- a/tests/front/worker_answers_test.cpp
+++ b/tests/front/worker_answers_test.cpp
@@ -191,6 +191,74 @@
     BOOST_TEST(!contains(response, "other"));
 }
 
+// Guards against a refusal of an earlier request that a faulty worker writes
+// once more, without its id, where the next answer is due: taken for that
+// answer, it made a request run at a second worker while the first one ran it.
+BOOST_AUTO_TEST_CASE(refusal_without_id_is_no_answer_of_a_worker_that_sends_ids)
+{
+    front_fixture front;
+    const auto next_reply = [](int number)
+    {
+        return number == 1 ? reply_success(number)
+                           : scripted_reply{
+                                 .answer = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+                                           "Content-Length: 0\r\n\r\n" +
+                                           success_answer("own")};
+    };
+    auto& faulty = front.add_worker("a", next_reply);
+    auto& sound = front.add_worker("b", reply_success);
+    std::size_t sent = 0;
+    // Until the faulty worker has a connection that has carried a request.
+    while (faulty.requests().empty() && sent < 50)
+    {
+        front.exchange(idempotent_request(std::to_string(++sent)), 50ms);
+    }
+    std::string response;
+    while (faulty.requests().size() == 1U && sent < 100)
+    {
+        response = front.exchange(
+            non_idempotent_request(std::to_string(++sent)), 50ms);
+    }
+    BOOST_TEST(faulty.requests().size() == 2U);
+    BOOST_TEST(contains(response, "HTTP/1.1 200"));
+    BOOST_TEST(contains(response, "own"));
+    BOOST_TEST(total_requests(faulty, sound) == sent);
+}
+
+// The same from a worker that never sends ids: its refusal may be an earlier
+// one, and proves nothing.
+BOOST_AUTO_TEST_CASE(refusal_without_id_proves_nothing_on_a_used_connection)
+{
+    front_fixture front;
+    const auto next_reply = [](int number)
+    {
+        return scripted_reply{
+            .answer = number == 1 ? "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                    "Content-Length: 1\r\n\r\nx"
+                                  : "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+                                    "Content-Length: 0\r\n\r\n"};
+    };
+    auto& worker = front.add_worker("a", next_reply);
+    const auto first = front.exchange(idempotent_request("1"), 100ms);
+    BOOST_TEST(contains(first, "HTTP/1.1 200"));
+    const auto response = front.exchange(non_idempotent_request("2"), 300ms);
+    BOOST_TEST(contains(response, "HTTP/1.1 502"));
+    BOOST_TEST(contains(response, "Waxwing-Outcome: unknown"));
+    BOOST_TEST(worker.requests().size() == 2U);
+}
+
+// On a connection of its own there is no earlier request.
+BOOST_AUTO_TEST_CASE(refusal_without_id_is_believed_on_a_new_connection)
+{
+    two_worker_fixture fixture{
+        {.answer = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+                   "Content-Length: 0\r\n\r\n"}};
+    const auto response =
+        fixture.front.exchange(non_idempotent_request("1"), 300ms);
+    BOOST_TEST(contains(response, "HTTP/1.1 200"));
+    BOOST_TEST(total_requests(*fixture.a, *fixture.b) == 2U);
+}
+
 // A connection that delivers a second, unsolicited answer must not be reused:
 // the next request would get that answer.
 BOOST_AUTO_TEST_CASE(unsolicited_answer_is_discarded)
