Front: workers that leave or want nothing are taken at their word

An incarnation that says it leaves counts as draining at once and for good, also if its entry lapses and comes back; requests that are waiting for a connection there go elsewhere.

The hint to peers is not built.

--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -47,6 +47,7 @@
     consecutive_ejections_ = 0;
     on_probation_ = false;
     probe_in_flight_ = false;
+    backoff_ = {};
 }
 
 void worker::report(const load_report& load, base::instant now)
@@ -127,8 +128,26 @@
     return ejection_reason::none;
 }
 
+void worker_table::set_leaving(worker& one)
+{
+    const auto digest = incarnation_digest(one.entry());
+    one.set_leaving();
+    if (std::ranges::find(leaving_, digest) != leaving_.end())
+    {
+        return;
+    }
+    leaving_.push_back(digest);
+    if (leaving_.size() > max_leaving)
+    {
+        leaving_.pop_front();
+    }
+}
+
 entry_change worker_table::put(worker_entry entry, base::instant now)
 {
+    const bool left = std::ranges::find(leaving_, incarnation_digest(entry)) !=
+                      leaving_.end();
+    entry.draining = entry.draining || left;
     const auto found = by_id_.find(entry.id);
     if (found == by_id_.end())
     {
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -17,6 +18,7 @@
 
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
+#include "decision/steering/worker_backoff.hpp"
 
 namespace waxwingvalve::decision::steering
 {
@@ -90,6 +92,13 @@
     // address resets the observed state.
     void update(worker_entry entry, base::instant now);
 
+    // The worker said that it leaves: as if its entry said that it drains.
+    void set_leaving() { entry_.draining = true; }
+
+    // The time for which it wants no requests from this daemon.
+    worker_backoff& backoff() { return backoff_; }
+    const worker_backoff& backoff() const { return backoff_; }
+
     void request_sent() { ++in_flight_; }
     // A probe that ends without an answer or failure frees the worker for the
     // next one.
@@ -139,6 +148,7 @@
     std::uint32_t consecutive_ejections_{0};
     bool on_probation_{false};
     bool probe_in_flight_{false};
+    worker_backoff backoff_{};
 };
 
 enum class entry_change : std::uint8_t
@@ -156,7 +166,13 @@
     using zone_workers =
         std::map<std::string, std::vector<worker_ptr>, std::less<>>;
 
+    // Leaving incarnations that are remembered.
+    static constexpr std::size_t max_leaving = 4'096;
+
     entry_change put(worker_entry entry, base::instant now);
+    // The incarnation of this worker said that it leaves. That holds until
+    // another incarnation is put, also if its entry goes and comes back.
+    void set_leaving(worker& one);
     // Returns false if no worker has this id.
     bool remove(const std::string& id);
     worker_ptr find(const std::string& id) const;
@@ -169,6 +185,9 @@
     void unindex(const worker_ptr& one);
 
     std::map<std::string, worker_ptr> by_id_;
+    // Digests of the incarnations that said they leave, newest last.
+    // Invariant: at most max_leaving.
+    std::deque<std::uint64_t> leaving_;
     std::map<std::string, zone_workers, std::less<>> by_service_;
 };
 
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -291,6 +291,45 @@
     state_of(entry.service).spillover_gates[region_of(entry.zone)].record(load);
 }
 
+void fleet_view::record_leaving(
+    steering::worker& worker, std::uint64_t incarnation_digest)
+{
+    // Another incarnation may have got its id and address meanwhile.
+    if (worker.entry().draining ||
+        steering::incarnation_digest(worker.entry()) != incarnation_digest)
+    {
+        return;
+    }
+    workers_.set_leaving(worker);
+    base::log_event(
+        base::log_level::info,
+        base::log_channel::routing,
+        "worker_leaving",
+        "worker",
+        worker.entry().id,
+        "told_by",
+        "answer");
+}
+
+base::duration fleet_view::backoff_left(
+    std::string_view service, base::instant now) const
+{
+    std::optional<base::duration> shortest;
+    for (const auto& [zone, workers] : workers_.of_service(service))
+    {
+        for (const auto& worker : workers)
+        {
+            if (worker->entry().draining || evacuated_zones_.contains(zone))
+            {
+                continue;
+            }
+            const auto left = worker->backoff().left(now);
+            shortest = std::min(shortest.value_or(left), left);
+        }
+    }
+    return shortest.value_or(base::duration{});
+}
+
 void fleet_view::record_outcome(
     steering::worker& worker, bool failed, base::instant now)
 {
@@ -342,6 +381,10 @@
     {
         return false;
     }
+    if (!worker.backoff().allows(worker.in_flight(), now))
+    {
+        return false;
+    }
     if (std::ranges::find(request.tried, entry.id) != request.tried.end())
     {
         return false;
@@ -362,11 +405,14 @@
 }
 
 bool fleet_view::may_send(
-    const steering::worker& worker, const steering::route& route) const
+    const steering::worker& worker,
+    const steering::route& route,
+    base::instant now) const
 {
     const auto& entry = worker.entry();
     const bool known = workers_.find(entry.id).get() == &worker;
-    return known && !entry.draining && !evacuated_zones_.contains(entry.zone) &&
+    return known && !entry.draining && !worker.backoff().active(now) &&
+           !evacuated_zones_.contains(entry.zone) &&
            home_region_allows(route, region_of(entry.zone));
 }
 
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -106,7 +106,9 @@
     // Whether a request that was placed at the worker may still be sent there:
     // a configuration, an evacuation or the worker's end may have come between.
     bool may_send(
-        const steering::worker& worker, const steering::route& route) const;
+        const steering::worker& worker,
+        const steering::route& route,
+        base::instant now) const;
 
     // Records the latency of an answer against the route's target latency.
     void record_latency(
@@ -120,6 +122,16 @@
         const steering::load_report& load,
         base::instant now);
 
+    // Records that this incarnation of the worker said that it leaves. It gets
+    // no further request.
+    void record_leaving(
+        steering::worker& worker, std::uint64_t incarnation_digest);
+
+    // Time until the first worker of the service takes requests again, if all
+    // that could serve it have asked to be left alone.
+    base::duration backoff_left(
+        std::string_view service, base::instant now) const;
+
     // Records whether the worker answered a request or failed it.
     void record_outcome(
         steering::worker& worker, bool failed, base::instant now);
--- a/packages/front/header_names.hpp
+++ b/packages/front/header_names.hpp
@@ -26,6 +26,8 @@
     std::string worker_load{};
     // Remaining time for which the worker is cold, in milliseconds.
     std::string cold_remaining{};
+    // Present in all answers of a worker that leaves.
+    std::string worker_leaving{};
     // Name of the cookie that holds the object id of the request.
     std::string object_cookie{};
 };
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -225,6 +225,7 @@
 {
     worker_ = worker;
     const auto& entry = worker->entry();
+    worker_incarnation_ = steering::incarnation_digest(entry);
     tried_workers_.push_back(entry.id);
     worker_region_ = context_.view.region_of(entry.zone);
     attempt_started_at_ = base::monotonic_clock::now();
@@ -240,7 +241,8 @@
              [this, worker]
          {
              adopt_current_homes();
-             return context_.view.may_send(*worker, *route_);
+             return context_.view.may_send(
+                 *worker, *route_, base::monotonic_clock::now());
          }},
         [self = shared_from_this(), worker](exchange_outcome outcome)
         { self->attempt_ended(worker, std::move(outcome)); });
@@ -288,7 +290,7 @@
     handle_failure(worker, outcome);
 }
 
-void request_flow::record_load(
+void request_flow::record_state(
     steering::worker& worker, const net::http_response& answer)
 {
     const auto now = base::monotonic_clock::now();
@@ -302,6 +304,36 @@
     {
         worker.set_cold_time_left(std::chrono::milliseconds{*cold}, now);
     }
+    if (header_value(answer.fields, context_.fields.worker_leaving) == "1")
+    {
+        context_.view.record_leaving(worker, worker_incarnation_);
+    }
+    record_backoff(worker, answer);
+}
+
+void request_flow::record_backoff(
+    steering::worker& worker, const net::http_response& answer)
+{
+    const auto now = base::monotonic_clock::now();
+    const auto time = answer.status == status_unavailable
+                          ? parse_retry_after(answer.fields)
+                          : std::nullopt;
+    if (!time || *time == base::duration{})
+    {
+        worker.backoff().end_resume(now);
+        return;
+    }
+    worker.backoff().begin(*time, now);
+    base::log_event(
+        log_level::info,
+        log_channel::routing,
+        "worker_backoff",
+        "request",
+        attempt_id_,
+        "worker",
+        worker.entry().id,
+        "left_ms",
+        base::to_milliseconds(worker.backoff().left(now)));
 }
 
 void request_flow::handle_answer(
@@ -310,7 +342,7 @@
     const auto now = base::monotonic_clock::now();
     auto& answer = outcome.answer;
     answer_bytes_ = std::move(outcome.answer_bytes);
-    record_load(*worker, answer);
+    record_state(*worker, answer);
     const bool refused =
         answer.status == status_misdirected ||
         net::find_field(answer.fields, context_.fields.not_executed);
@@ -488,7 +520,10 @@
     }
     if (not_run && answer.status >= status_server_error)
     {
-        set_retry_after(answer, attempt_id_);
+        set_retry_after(
+            answer,
+            attempt_id_,
+            context_.view.backoff_left(service_, base::monotonic_clock::now()));
     }
     finish(std::move(answer), not_run ? "not_run" : "unknown");
 }
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -72,7 +72,10 @@
         const fleet_view::worker_ptr& worker, exchange_outcome outcome);
     void handle_failure(
         const fleet_view::worker_ptr& worker, const exchange_outcome& outcome);
-    void record_load(
+    // Records what the worker says of itself with any answer.
+    void record_state(
+        steering::worker& worker, const net::http_response& answer);
+    void record_backoff(
         steering::worker& worker, const net::http_response& answer);
     // Sends the request to another worker if attempts, time and retry budget
     // allow it; otherwise answers the caller with `reason`.
@@ -108,6 +111,8 @@
     responder respond_;
     std::shared_ptr<upstream_connection> connection_;
     fleet_view::worker_ptr worker_;
+    // Incarnation that the newest attempt was sent to.
+    std::uint64_t worker_incarnation_{};
     std::vector<std::string> tried_workers_;
     // Region of the newest attempt's worker.
     std::string worker_region_;
--- a/tests/decision/steering/worker_table_test.cpp
+++ b/tests/decision/steering/worker_table_test.cpp
@@ -55,6 +55,39 @@
     BOOST_TEST(!table.find("a")->entry().draining);
 }
 
+// Guards against requests to a worker that said it leaves, because its entry
+// lapsed and came back.
+BOOST_AUTO_TEST_CASE(a_worker_that_said_it_leaves_is_out_for_good)
+{
+    worker_table table;
+    table.put(entry("a"), begin);
+    table.set_leaving(*table.find("a"));
+    BOOST_TEST(table.find("a")->entry().draining);
+    table.put(entry("a"), begin);
+    BOOST_TEST(table.find("a")->entry().draining);
+    table.remove("a");
+    table.put(entry("a"), begin);
+    BOOST_TEST(table.find("a")->entry().draining);
+    table.put(entry("a", 2), begin);
+    BOOST_TEST(!table.find("a")->entry().draining);
+}
+
+BOOST_AUTO_TEST_CASE(a_bounded_number_of_leaving_workers_is_remembered)
+{
+    worker_table table;
+    for (std::size_t i = 0; i <= worker_table::max_leaving; ++i)
+    {
+        const auto id = std::to_string(i);
+        table.put(entry(id), begin);
+        table.set_leaving(*table.find(id));
+        table.remove(id);
+    }
+    table.put(entry("0"), begin);
+    BOOST_TEST(!table.find("0")->entry().draining);
+    table.put(entry("1"), begin);
+    BOOST_TEST(table.find("1")->entry().draining);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_incarnation_is_not_ejected)
 {
     worker subject{entry("a"), begin};
--- a/tests/front/front_fixture.cpp
+++ b/tests/front/front_fixture.cpp
@@ -27,6 +27,7 @@
         .worker_id = "Worker-Id",
         .worker_load = "Worker-Load",
         .cold_remaining = "Cold-Ms",
+        .worker_leaving = "Leaving",
         .object_cookie = "object"};
 }
 
