Front, platform: an exception ends a connection, not the process

Evidence: odd_entries_of_workers/the_list_is_followed_past_a_value_of_padding on: the next worker is not seen within 2.5 s.

Handlers of callers, workers, heartbeats and net/http_server report an exception (handler_failed, handlers_failed_total) and end what they served. New counters also tell requests and answers that could not be read.

--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -10,6 +10,7 @@
 
 #include "base/log.hpp"
 #include "front/retry_after.hpp"
+#include "net/guarded.hpp"
 
 namespace waxwingvalve::front
 {
@@ -122,13 +123,23 @@
                 self->handle_disconnect(failure.message());
                 return;
             }
-            self->reader_.append(asio::buffer(self->received_, size));
-            self->last_input_at_ = base::monotonic_clock::now();
-            self->process_input();
-            self->read();
+            const bool handled =
+                net::run_guarded("caller", [&] { self->handle_input(size); });
+            if (!handled)
+            {
+                self->handle_disconnect("internal failure");
+            }
         });
 }
 
+void client_session::handle_input(std::size_t size)
+{
+    reader_.append(asio::buffer(received_, size));
+    last_input_at_ = base::monotonic_clock::now();
+    process_input();
+    read();
+}
+
 void client_session::process_input()
 {
     if (input_ended_)
@@ -208,6 +219,7 @@
 // Refuses the request that is being read, which has not run and will not.
 void client_session::refuse_input(result_code code)
 {
+    ++context_.counts.requests_unreadable;
     auto refusal = net::make_refusal({code}, net::outcome::not_run);
     if (code == result_code::overloaded)
     {
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -74,6 +74,7 @@
     using pending_ptr = std::shared_ptr<pending_request>;
 
     void read();
+    void handle_input(std::size_t size);
     void process_input();
     bool parse_request();
     void queue_request();
--- a/packages/front/peer_heartbeats.cpp
+++ b/packages/front/peer_heartbeats.cpp
@@ -4,6 +4,7 @@
 #include <span>
 
 #include "base/log.hpp"
+#include "net/guarded.hpp"
 #include "schema/fleet.hpp"
 
 namespace waxwingvalve::front
@@ -91,7 +92,7 @@
             }
             if (!failure)
             {
-                handle_datagram(size);
+                net::run_guarded("heartbeat", [&] { handle_datagram(size); });
             }
             receive();
         });
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -436,6 +436,10 @@
         return;
     }
     execution_ = execution_state::unknown;
+    if (outcome.status == exchange_status::invalid_answer)
+    {
+        ++context_.counts.answers_unreadable;
+    }
     context_.view.record_outcome(*worker, true, now);
     if (outcome.status == exchange_status::closed_early)
     {
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "net/guarded.hpp"
+
 namespace waxwingvalve::front
 {
 namespace
@@ -102,6 +104,21 @@
         "bodies_refused_total",
         "Bodies for which there was no memory.",
         memory.requests.refusals() + memory.answers.refusals());
+    add_counter(
+        text,
+        "requests_unreadable_total",
+        "Requests that could not be read.",
+        counts.requests_unreadable);
+    add_counter(
+        text,
+        "answers_unreadable_total",
+        "Answers of workers that could not be read.",
+        counts.answers_unreadable);
+    add_counter(
+        text,
+        "handlers_failed_total",
+        "Connections ended by an internal failure.",
+        net::guarded_failures());
     text += counts.answer_latency.text(
         "answer_seconds", "From a request's last byte to its answer.");
     return text;
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 
+#include "net/guarded.hpp"
 #include "net/message_reader.hpp"
 
 namespace waxwingvalve::front
@@ -318,8 +319,17 @@
                 s.close();
                 return;
             }
-            s.reader.append(asio::buffer(s.input, size));
-            s.parse(self);
+            const bool handled = net::run_guarded(
+                "worker",
+                [&]
+                {
+                    s.reader.append(asio::buffer(s.input, size));
+                    s.parse(self);
+                });
+            if (!handled)
+            {
+                s.fail_answer("internal failure");
+            }
             if (!s.closed)
             {
                 s.read(self);
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -8,7 +8,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/guarded.hpp"
 #include "net/message_reader.hpp"
 
 namespace waxwingvalve::net
@@ -379,7 +379,7 @@
             context,
             [connection]() -> asio::awaitable<void>
             { co_await connection->run(); },
-            asio::detached);
+            report_failure_of("server connection"));
     }
 }
 
@@ -417,7 +417,7 @@
         state_->context,
         [self = state_]() -> asio::awaitable<void>
         { co_await self->accept_loop(); },
-        asio::detached);
+        report_failure_of("server"));
     return base::success();
 }
 
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -19,6 +19,10 @@
 namespace
 {
 
+// Stands for the value of a row of put_encoded() until it is sent.
+constexpr std::string_view encoded_marker = "encoded-marker";
+constexpr std::string_view marker_base64 = "ZW5jb2RlZC1tYXJrZXI=";
+
 constexpr std::chrono::milliseconds poll_interval{10};
 // Longer than the request timeout of the store's clients.
 constexpr std::chrono::seconds no_response_delay{10};
@@ -72,6 +76,15 @@
     tables_[table][key] = {key, value, ++version_, false};
 }
 
+void fake_store::put_encoded(
+    const std::string& table,
+    const std::string& key,
+    const std::string& encoded)
+{
+    encoded_value_ = encoded;
+    put(table, key, std::string{encoded_marker});
+}
+
 void fake_store::remove(const std::string& table, const std::string& key)
 {
     tables_[table][key] = {key, {}, ++version_, true};
@@ -104,6 +117,11 @@
 net::http_response fake_store::with_era(net::http_response response) const
 {
     net::set_field(response.fields, "Store-Era", std::to_string(era_));
+    for (auto at = response.body.find(marker_base64); at != std::string::npos;
+         at = response.body.find(marker_base64))
+    {
+        response.body.replace(at, marker_base64.size(), encoded_value_);
+    }
     return response;
 }
 
--- a/tests/platform/fake_store.hpp
+++ b/tests/platform/fake_store.hpp
@@ -49,6 +49,11 @@
         const std::string& table,
         const std::string& key,
         const std::string& value);
+    // The same for a row whose value is this text in place of any base64.
+    void put_encoded(
+        const std::string& table,
+        const std::string& key,
+        const std::string& encoded);
     // Marks a row as deleted and advances the store's version.
     void remove(const std::string& table, const std::string& key);
     // Keys of the rows of a table that are not deleted, with their values.
@@ -80,6 +85,8 @@
     boost::asio::awaitable<std::optional<net::http_response>> answer(
         net::http_request request);
 
+    // Text in place of the value of put_encoded().
+    std::string encoded_value_{};
     // Rows by table and key, including deleted rows.
     using tables =
         std::map<std::string, std::map<std::string, store::mirrored_row>>;
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -105,6 +105,19 @@
     BOOST_TEST(!fixture.has_worker("i-0-before"));
 }
 
+// Guards against a daemon that stops following the list without a word: the
+// exception of a value of padding ended the coroutine that reads it.
+BOOST_AUTO_TEST_CASE(the_list_is_followed_past_a_value_of_padding)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    fixture.store.put_encoded("servers", "i-odd", "====");
+    fixture.store.put("servers", "i-2", make_worker("ready"));
+    BOOST_TEST(
+        fixture.wait_until([&] { return fixture.has_worker("i-2"); }, 2500ms));
+    BOOST_TEST(!fixture.has_worker("i-odd"));
+}
+
 BOOST_DATA_TEST_CASE(they_name_no_worker, odd_entries, entry)
 {
     const auto parsed = platform::parse_worker("i-odd", entry.value);
