Front: numbers of callers and workers don't overflow

A caller that waits for very long was refused at once (504): its deadline overflowed into the past. The cold time and the load of a worker overflowed, or were cut to 32 bits, in the same way.

Evidence: caller_connections/a_huge_deadline_is_served fails for 2^63-1 and 2^64-1 before the change.

--- a/packages/front/request_fields.cpp
+++ b/packages/front/request_fields.cpp
@@ -38,6 +38,21 @@
     return host.substr(0, host.find(':'));
 }
 
+std::optional<std::chrono::milliseconds> parse_milliseconds(
+    std::string_view text)
+{
+    // Larger ones overflow when they are added to a point in time.
+    constexpr std::chrono::milliseconds most = std::chrono::hours{24};
+    const auto number = base::parse_number<std::uint64_t>(text);
+    if (!number)
+    {
+        return std::nullopt;
+    }
+    const auto bounded =
+        std::min(*number, static_cast<std::uint64_t>(most.count()));
+    return std::chrono::milliseconds{bounded};
+}
+
 std::optional<decision::steering::load_report> parse_load(std::string_view text)
 {
     std::array<std::uint32_t, 3> parts{};
@@ -45,12 +60,12 @@
     {
         const auto end = std::min(text.find(','), text.size());
         const auto number =
-            base::parse_number<std::uint64_t>(text.substr(0, end));
+            base::parse_number<std::uint32_t>(text.substr(0, end));
         if (!number)
         {
             return std::nullopt;
         }
-        part = static_cast<std::uint32_t>(*number);
+        part = *number;
         text.remove_prefix(std::min(end + 1, text.size()));
     }
     return decision::steering::load_report{parts[0], parts[1], parts[2]};
--- a/packages/front/request_fields.hpp
+++ b/packages/front/request_fields.hpp
@@ -1,6 +1,7 @@
 // Reads values from the header fields of requests and answers.
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <span>
 #include <string>
@@ -23,6 +24,11 @@
 // The host that the request names, without its port.
 std::string_view host_of(const net::http_request& request);
 
+// Parses a whole number of milliseconds, cut to a day; nothing if the text is
+// anything else.
+std::optional<std::chrono::milliseconds> parse_milliseconds(
+    std::string_view text);
+
 // Parses "running,waiting,slots"; nothing if the text is anything else.
 std::optional<decision::steering::load_report> parse_load(
     std::string_view text);
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -8,7 +8,6 @@
 #include <fmt/format.h>
 
 #include "base/log.hpp"
-#include "base/number.hpp"
 #include "decision/retries/request_digest.hpp"
 #include "front/crash_probe.hpp"
 #include "front/request_fields.hpp"
@@ -67,13 +66,10 @@
     {
         route_ = *route;
     }
-    const auto requested_deadline = base::parse_number<std::uint64_t>(
-        header_value(request_.fields, context_.fields.deadline));
-    deadline_ =
-        received_at_ +
-        (requested_deadline
-             ? base::duration{std::chrono::milliseconds{*requested_deadline}}
-             : base::duration{default_deadline});
+    deadline_ = received_at_ +
+                parse_milliseconds(
+                    header_value(request_.fields, context_.fields.deadline))
+                    .value_or(default_deadline);
     if (route_)
     {
         deadline_ = std::min(deadline_, received_at_ + route_->timeout);
@@ -299,10 +295,10 @@
     {
         context_.view.record_load(worker, *load, now);
     }
-    if (const auto cold = base::parse_number<std::uint64_t>(
+    if (const auto cold = parse_milliseconds(
             header_value(answer.fields, context_.fields.cold_remaining)))
     {
-        worker.set_cold_time_left(std::chrono::milliseconds{*cold}, now);
+        worker.set_cold_time_left(*cold, now);
     }
     if (header_value(answer.fields, context_.fields.worker_leaving) == "1")
     {
--- a/tests/front/caller_connection_test.cpp
+++ b/tests/front/caller_connection_test.cpp
@@ -98,6 +98,30 @@
     BOOST_TEST(contains(response, "HTTP/1.1 431"));
 }
 
+// Guards against a caller that waits for very long and is refused at once: its
+// deadline overflowed into the past.
+BOOST_AUTO_TEST_CASE(a_huge_deadline_is_served)
+{
+    for (const auto* deadline :
+         {"9223372036854775807", "18446744073709551615", "86400001"})
+    {
+        BOOST_TEST_CONTEXT(deadline)
+        {
+            front_fixture front;
+            front.add_worker(
+                "a", [](int) { return delayed_success(0ms, "x"); });
+            auto request = idempotent_request("1");
+            const std::string_view field{"Deadline: 5000"};
+            request.replace(
+                request.find(field),
+                field.size(),
+                std::string{"Deadline: "} + deadline);
+            const auto response = front.exchange(request, 150ms);
+            BOOST_TEST(contains(response, "HTTP/1.1 200"));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(incomplete_head_times_out_as_not_run)
 {
     front_fixture front;
