Front: a worker may leave a long body unread while it is at work

Cause: TCP_USER_TIMEOUT of 700 ms, which Linux applies to a closed window, too.

Evidence: uploads/a_worker_may_leave_a_long_body_unread_until_it_answers fails before the change with 'Connection timed out' after 987 ms.

A connection that carries a body of more than 8 KiB, which any window takes, has until the deadline of each of its requests.

--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -233,6 +233,7 @@
          .id_field = context_.fields.attempt_id,
          .id = attempt_id_,
          .head_request = request_.method == "HEAD",
+         .deadline = deadline_,
          .may_send =
              [this, worker]
          {
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -109,6 +109,8 @@
     bool answer_started{false};
     // An answer on this connection had an id.
     bool worker_sends_ids{false};
+    // The worker may not have read all of a body that was sent.
+    bool long_body_sent{false};
     // An answer to an earlier request arrived: the connection must not be
     // reused.
     bool stale_answer_seen{false};
@@ -119,6 +121,7 @@
 
     void connect(const std::shared_ptr<upstream_connection>& self);
     void send(const std::shared_ptr<upstream_connection>& self);
+    void set_acknowledgement_timeout(std::chrono::milliseconds time);
     void withdraw(const std::shared_ptr<upstream_connection>& self);
     void read(const std::shared_ptr<upstream_connection>& self);
     void parse(const std::shared_ptr<upstream_connection>& self);
@@ -232,11 +235,7 @@
             }
             beast::error_code ignored;
             s.socket.set_option(tcp::no_delay{true}, ignored);
-            using user_timeout = asio::detail::socket_option::
-                integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-            s.socket.set_option(
-                user_timeout{static_cast<int>(unacknowledged_timeout.count())},
-                ignored);
+            s.set_acknowledgement_timeout(unacknowledged_timeout);
             s.connected = true;
             s.read(self);
             if (s.request.may_send && !s.request.may_send())
@@ -248,6 +247,15 @@
         });
 }
 
+void upstream_connection::state::set_acknowledgement_timeout(
+    std::chrono::milliseconds time)
+{
+    using user_timeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    beast::error_code ignored;
+    socket.set_option(user_timeout{static_cast<int>(time.count())}, ignored);
+}
+
 void upstream_connection::state::withdraw(
     const std::shared_ptr<upstream_connection>& self)
 {
@@ -267,6 +275,13 @@
         return;
     }
     request.may_send = nullptr;
+    long_body_sent = long_body_sent || request.body->size() > small_body_bytes;
+    if (long_body_sent)
+    {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+            request.deadline - base::monotonic_clock::now());
+        set_acknowledgement_timeout(std::max(left, unacknowledged_timeout));
+    }
     sending = true;
     const std::array<asio::const_buffer, 2> buffers{
         asio::buffer(request.head), asio::buffer(*request.body)};
--- a/packages/front/upstream_connection.hpp
+++ b/packages/front/upstream_connection.hpp
@@ -51,6 +51,8 @@
     std::string id{};
     // The answer has no body.
     bool head_request{};
+    // Until then the worker may leave a long body unread.
+    base::instant deadline{};
     // Asked when a new connection is open: whether the request may still be
     // sent. Always, if there is none.
     std::function<bool()> may_send{};
@@ -85,6 +87,12 @@
     // unacknowledged for longer, as when the worker's VM is gone or its network
     // drops packets. Long enough for three consecutive losses of a segment.
     static constexpr std::chrono::milliseconds unacknowledged_timeout{700};
+    // A body of at most this size fits the window of any worker. A longer one
+    // may be left unread while the worker is at work, and Linux applies
+    // TCP_USER_TIMEOUT to a closed window, too, although its probes are
+    // acknowledged. A connection that has carried one has until the deadline of
+    // each request in place of unacknowledged_timeout.
+    static constexpr std::size_t small_body_bytes{8 * 1024};
     static constexpr std::chrono::milliseconds connect_timeout{500};
 
     // The body of an answer is taken from `answer_memory`; an answer for which
--- a/tests/front/upload_test.cpp
+++ b/tests/front/upload_test.cpp
@@ -11,6 +11,7 @@
 
 #include "front/front_fixture.hpp"
 
+using namespace waxwingvalve;
 using namespace waxwingvalve::tests;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -174,6 +175,58 @@
     BOOST_TEST(worker.requests().empty());
 }
 
+// Guards against review/4: an upload was broken off after a second because its
+// worker did not read the body while it was at work.
+BOOST_AUTO_TEST_CASE(a_worker_may_leave_a_long_body_unread_until_it_answers)
+{
+    constexpr std::size_t long_bytes = 1'000'000;
+    constexpr std::size_t piece_bytes = 50'000;
+    constexpr int small_window = 4 * 1024;
+    front_fixture front;
+    front.memory.requests = base::byte_budget{4 * long_bytes};
+    auto configuration = front.view.configuration();
+    ++configuration.version;
+    configuration.limits.body_bytes = 2 * long_bytes;
+    configuration.routes.at(1).timeout = 4s;
+    front.view.adopt(configuration);
+    tcp::acceptor acceptor{front.loop, tcp::v4()};
+    acceptor.set_option(asio::socket_base::receive_buffer_size{small_window});
+    acceptor.bind({asio::ip::address_v4::loopback(), 0});
+    acceptor.listen();
+    decision::steering::worker_entry entry;
+    entry.id = "a";
+    entry.service = "desk";
+    entry.zone = "addis-a";
+    entry.slots = 4;
+    entry.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+    front.view.put_worker(entry, base::monotonic_clock::now());
+
+    open_caller caller{
+        front,
+        fmt::format(
+            "POST /unsafe/1 HTTP/1.1\r\nHost: desk.example\r\n"
+            "Attempt-Id: 1\r\nDeadline: 5000\r\nContent-Length: {}\r\n\r\n",
+            long_bytes)};
+    for (std::size_t sent = 0; sent < long_bytes; sent += piece_bytes)
+    {
+        caller.send(std::string(piece_bytes, 'x'));
+    }
+    auto worker = acceptor.accept();
+    std::string head(100, '\0');
+    asio::read(worker, asio::buffer(head));
+    front.run_for(2s);
+    const std::string answer{
+        "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nSignature: s\r\n"
+        "Content-Length: 6\r\n\r\nstored"};
+    boost::system::error_code failure;
+    asio::write(worker, asio::buffer(answer), failure);
+    BOOST_TEST(!failure);
+    front.run_for(100ms);
+    const auto response = caller.received();
+    BOOST_TEST(contains(response, "HTTP/1.1 200"));
+    BOOST_TEST(contains(response, "stored"));
+}
+
 BOOST_AUTO_TEST_CASE(a_body_that_comes_slowly_is_served)
 {
     front_fixture front;
