Front: the choice of a worker and the end of an attempt have files of their own

What chooses a worker moves to fleet_placement.cpp, what follows from an answer to request_answers.cpp, the HTTP statuses that both judge to http_status.hpp. No change of behaviour.

--- /dev/null
+++ b/packages/front/fleet_placement.cpp
@@ -0,0 +1,245 @@
+// Choice of the worker for a request: who may serve it, in which order workers
+// are tried, and the limits on what is sent there.
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "front/fleet_view.hpp"
+
+namespace waxwingvalve::front
+{
+
+using base::fail;
+using base::result_code;
+using steering::ejection_reason;
+
+namespace
+{
+
+// For this long after workers were added or removed, the shares of regions may
+// change without a limit: the limit would refuse requests although another
+// region has free slots.
+constexpr base::duration unlimited_shift_duration{std::chrono::seconds{4}};
+
+} // namespace
+
+bool fleet_view::may_serve(
+    const steering::worker& worker,
+    const placement_request& request,
+    bool accept_failing,
+    base::instant now) const
+{
+    const auto& entry = worker.entry();
+    if (entry.draining || evacuated_zones_.contains(entry.zone))
+    {
+        return false;
+    }
+    if (!worker.backoff().allows(worker.in_flight(), now))
+    {
+        return false;
+    }
+    if (std::ranges::find(request.tried, entry.id) != request.tried.end())
+    {
+        return false;
+    }
+    const auto reason = worker.ejection(now);
+    if (accept_failing && reason == ejection_reason::failing)
+    {
+        return true;
+    }
+    return reason == ejection_reason::none && !worker.probe_in_flight();
+}
+
+bool fleet_view::home_region_allows(
+    const steering::route& route, std::string_view region) const
+{
+    const auto& homes = route.home_regions;
+    return homes.empty() || std::ranges::find(homes, region) != homes.end();
+}
+
+bool fleet_view::may_send(
+    const steering::worker& worker,
+    const steering::route& route,
+    base::instant now) const
+{
+    const auto& entry = worker.entry();
+    const bool known = workers_.find(entry.id).get() == &worker;
+    return known && !entry.draining && !worker.backoff().active(now) &&
+           !evacuated_zones_.contains(entry.zone) &&
+           home_region_allows(route, region_of(entry.zone));
+}
+
+std::vector<steering::worker_candidate> fleet_view::candidates(
+    std::span<const worker_ptr* const> workers,
+    const placement_request& request,
+    bool accept_failing,
+    base::instant now) const
+{
+    std::vector<steering::worker_candidate> eligible;
+    eligible.reserve(workers.size());
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        const auto& worker = **workers[i];
+        if (may_serve(worker, request, accept_failing, now))
+        {
+            eligible.push_back(
+                {i, worker.entry().id, worker.load(now), worker.slots()});
+        }
+    }
+    return eligible;
+}
+
+// A cold worker accepts requests only at the rate set for the service. A worker
+// on probation after failures accepts one idempotent request at a time, as a
+// probe.
+bool fleet_view::take_rate_limited(
+    steering::worker& worker,
+    const placement_request& request,
+    base::instant now)
+{
+    if (worker.on_probation() && !request.route->idempotent)
+    {
+        return false;
+    }
+    if (worker.cold(now))
+    {
+        const auto service =
+            configuration_.services.find(worker.entry().service);
+        const double rate = service == configuration_.services.end()
+                                ? 0.0
+                                : service->second.cold_requests_per_s;
+        if (!cold_worker_limiter_.try_acquire(
+                worker.entry().id,
+                rate,
+                members.self().name,
+                live_daemon_names_,
+                members.settled(now),
+                now))
+        {
+            return false;
+        }
+    }
+    if (worker.on_probation())
+    {
+        worker.begin_probe();
+    }
+    return true;
+}
+
+// True if no route to the same services has a higher priority.
+bool fleet_view::has_highest_priority(const steering::route& route) const
+{
+    return std::ranges::all_of(
+        route.parts,
+        [&](const steering::split_part& part)
+        {
+            const auto found = highest_priority_.find(part.service);
+            return found == highest_priority_.end() ||
+                   route.priority <= found->second;
+        });
+}
+
+// Assigns the request to the worker if the limits of the region and of the
+// worker allow it.
+bool fleet_view::try_assign(
+    steering::worker& worker,
+    const placement_request& request,
+    std::string_view region,
+    const steering::region_plan& plan,
+    base::instant now)
+{
+    const std::string name{region};
+    region_shift_limiter_.seed_shares(plan.shares(), now);
+    const bool limit_applies =
+        now - plan.replaced_at() > unlimited_shift_duration;
+    if (limit_applies &&
+        !region_shift_limiter_.allows(name, options_.region_step, now))
+    {
+        return false;
+    }
+    const bool limited = worker.cold(now) || worker.on_probation();
+    if (limited && !take_rate_limited(worker, request, now))
+    {
+        return false;
+    }
+    region_shift_limiter_.count(name, options_.region_step, now);
+    worker.request_sent();
+    return true;
+}
+
+fleet_view::placement fleet_view::place_among(
+    const placement_request& request,
+    service_state& service,
+    bool accept_failing,
+    base::instant now)
+{
+    placement result;
+    auto policy = options_.choice;
+    policy.max_utilization = service.utilization_limit.value();
+    const bool top_priority = has_highest_priority(*request.route);
+    auto& gates = service.spillover_gates;
+    const bool local_spillover = gates[members.self().region].open();
+    for (const auto region : service.plan.region_order(request.object))
+    {
+        if (!home_region_allows(*request.route, region))
+        {
+            continue;
+        }
+        // Few load reports arrive from remote regions, so spillover to one also
+        // requires that the load of the local region is low.
+        const bool spillover =
+            local_spillover && gates[std::string{region}].open();
+        policy.idle_utilization =
+            spillover ? options_.choice.idle_utilization : 0.0;
+        const auto workers = workers_in(request.service, region);
+        const auto eligible = candidates(workers, request, accept_failing, now);
+        const auto ranked = steering::rank_workers(
+            request.object, eligible, policy, top_priority, result.candidates);
+        result.candidates += eligible.size();
+        result.with_free_slots += ranked.size();
+        for (const auto& next : ranked)
+        {
+            const auto& worker = *workers[next.index];
+            if (try_assign(*worker, request, region, service.plan, now))
+            {
+                result.chosen = worker;
+                return result;
+            }
+        }
+    }
+    return result;
+}
+
+base::result<fleet_view::worker_ptr> fleet_view::place(
+    const placement_request& request, base::instant now)
+{
+    auto& service = state_of(request.service);
+    if (service.plan.shares().empty())
+    {
+        service.plan.update(
+            region_supplies(request.service, now), members.self().region, now);
+    }
+    auto found = place_among(request, service, false, now);
+    if (!found.chosen && found.candidates == 0)
+    {
+        found = place_among(request, service, true, now);
+    }
+    if (found.chosen)
+    {
+        return found.chosen;
+    }
+    if (found.candidates == 0)
+    {
+        return fail(result_code::no_upstream, std::string{request.service});
+    }
+    return fail(
+        result_code::no_room,
+        fmt::format(
+            "{}: {} workers, {} with room, full at {:.2f}",
+            request.service,
+            found.candidates,
+            found.with_free_slots,
+            service.utilization_limit.value()));
+}
+
+} // namespace waxwingvalve::front
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -1,4 +1,5 @@
-// Request handling: admission, attempts, retries and refusals.
+// Request handling: admission, attempts, retries and refusals. What follows
+// from the end of an attempt is in request_answers.cpp.
 #include "front/request_flow.hpp"
 
 #include <algorithm>
@@ -9,7 +10,7 @@
 
 #include "base/log.hpp"
 #include "decision/retries/request_digest.hpp"
-#include "front/crash_probe.hpp"
+#include "front/http_status.hpp"
 #include "front/request_fields.hpp"
 #include "front/retry_after.hpp"
 
@@ -23,27 +24,11 @@
 namespace
 {
 
-// HTTP statuses, RFC 9110, section 15.
-constexpr unsigned status_success_begin = 200;
-constexpr unsigned status_success_end = 300;
-constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_server_error = 500;
-constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned status_unavailable = 503;
-
 // Used when the caller sends no deadline.
 constexpr std::chrono::seconds default_deadline{10};
-// Failed connections tolerated per request. They are not charged to the retry
-// budget, because they cost workers nothing.
-constexpr std::uint32_t max_connect_failures = 3;
 // With less time left than this, another attempt cannot finish in time.
 constexpr std::chrono::milliseconds min_time_for_attempt{40};
 
-bool is_success(unsigned status)
-{
-    return status >= status_success_begin && status < status_success_end;
-}
-
 } // namespace
 
 request_flow::request_flow(
@@ -287,175 +272,6 @@
     handle_failure(worker, outcome);
 }
 
-void request_flow::record_state(
-    steering::worker& worker, const net::http_response& answer)
-{
-    const auto now = base::monotonic_clock::now();
-    if (const auto load = parse_load(
-            header_value(answer.fields, context_.fields.worker_load)))
-    {
-        context_.view.record_load(worker, *load, now);
-    }
-    if (const auto cold = parse_milliseconds(
-            header_value(answer.fields, context_.fields.cold_remaining)))
-    {
-        worker.set_cold_time_left(*cold, now);
-    }
-    if (header_value(answer.fields, context_.fields.worker_leaving) == "1")
-    {
-        context_.view.record_leaving(worker, worker_incarnation_);
-    }
-    record_backoff(worker, answer);
-}
-
-void request_flow::record_backoff(
-    steering::worker& worker, const net::http_response& answer)
-{
-    const auto now = base::monotonic_clock::now();
-    const auto time = answer.status == status_unavailable
-                          ? parse_retry_after(answer.fields)
-                          : std::nullopt;
-    if (!time || *time == base::duration{})
-    {
-        worker.backoff().end_resume(now);
-        return;
-    }
-    worker.backoff().begin(*time, now);
-    base::log_event(
-        log_level::info,
-        log_channel::routing,
-        "worker_backoff",
-        "request",
-        attempt_id_,
-        "worker",
-        worker.entry().id,
-        "left_ms",
-        base::to_milliseconds(worker.backoff().left(now)));
-}
-
-void request_flow::handle_answer(
-    const fleet_view::worker_ptr& worker, exchange_outcome outcome)
-{
-    const auto now = base::monotonic_clock::now();
-    auto& answer = outcome.answer;
-    answer_bytes_ = std::move(outcome.answer_bytes);
-    record_state(*worker, answer);
-    const bool refused =
-        answer.status == status_misdirected ||
-        net::find_field(answer.fields, context_.fields.not_executed);
-    if (refused && outcome.ambiguous && !route_->idempotent)
-    {
-        // No proof that this request did not run.
-        execution_ = execution_state::unknown;
-        context_.view.record_outcome(*worker, true, now);
-        refuse({result_code::answer_mismatched, worker->entry().id});
-        return;
-    }
-    if (answer.status == status_misdirected)
-    {
-        // The address now belongs to another worker: the entry is outdated.
-        context_.view.record_unreachable(*worker, now);
-        retry_or_refuse({result_code::no_upstream, worker->entry().id}, true);
-        return;
-    }
-    if (refused)
-    {
-        const bool full = worker->load(now) >= worker->slots();
-        context_.view.record_outcome(*worker, !full, now);
-        retry_or_refuse({result_code::shed_by_upstream}, true);
-        return;
-    }
-    const bool signed_by_worker =
-        net::find_field(answer.fields, context_.fields.signature).has_value();
-    if (signed_by_worker)
-    {
-        clear_crash_suspicion(context_, digest_);
-    }
-    if (is_success(answer.status) && signed_by_worker)
-    {
-        context_.view.record_outcome(*worker, false, now);
-        context_.view.record_latency(
-            service_, now - attempt_started_at_, route_->target_latency);
-        finish(std::move(answer), "passed_on");
-        return;
-    }
-    execution_ = execution_state::unknown;
-    context_.view.record_outcome(*worker, true, now);
-    if (!is_success(answer.status))
-    {
-        last_answer_ = std::move(answer);
-    }
-    const bool server_failed =
-        !last_answer_ || last_answer_->status >= status_server_error;
-    if (server_failed && route_->idempotent)
-    {
-        retry_or_refuse({result_code::answer_lost}, true);
-        return;
-    }
-    if (last_answer_)
-    {
-        finish(std::move(*last_answer_), "passed_on");
-        return;
-    }
-    refuse({result_code::answer_lost});
-}
-
-void request_flow::handle_failure(
-    const fleet_view::worker_ptr& worker, const exchange_outcome& outcome)
-{
-    const auto now = base::monotonic_clock::now();
-    base::log_event(
-        log_level::info,
-        log_channel::serving,
-        "attempt_failed",
-        "request",
-        attempt_id_,
-        "worker",
-        worker->entry().id,
-        "connected",
-        outcome.status != exchange_status::not_connected,
-        "reused",
-        outcome.reused,
-        "reason",
-        outcome.detail,
-        "after_ms",
-        base::to_milliseconds(now - attempt_started_at_));
-    if (outcome.status == exchange_status::not_connected)
-    {
-        context_.view.record_unreachable(*worker, now);
-        ++connect_failures_;
-        if (connect_failures_ > max_connect_failures)
-        {
-            refuse({result_code::connect_failed});
-            return;
-        }
-        retry_or_refuse({result_code::connect_failed}, false);
-        return;
-    }
-    execution_ = execution_state::unknown;
-    if (outcome.status == exchange_status::invalid_answer)
-    {
-        ++context_.counts.answers_unreadable;
-    }
-    context_.view.record_outcome(*worker, true, now);
-    if (outcome.status == exchange_status::closed_early)
-    {
-        probe_for_crash(
-            context_,
-            {.request = attempt_id_,
-             .digest = digest_,
-             .worker = worker,
-             .sent_at = attempt_started_at_,
-             .ended_at = now});
-    }
-    if (!route_->idempotent)
-    {
-        refuse({result_code::answer_lost});
-        return;
-    }
-    retry_or_refuse({result_code::answer_lost}, true);
-}
-
 void request_flow::retry_or_refuse(const base::error& reason, bool costs_budget)
 {
     const auto now = base::monotonic_clock::now();
