Platform: a daemon that followed the store shows that it was not away

Callers' requests reached workers up to 4.5 s after they had said that they leave (DRAIN), from daemons that were cut off: these took the end of their cut for the store's return and held removals back for 2.2 s, a second time when their second table came back.

--- a/tests/front/caller_connection_test.cpp
+++ b/tests/front/caller_connection_test.cpp
@@ -158,6 +158,7 @@
     constexpr int worker_count = 16;
     front_fixture front;
     std::vector<const scripted_worker*> workers;
+    workers.reserve(worker_count);
     for (int i = 0; i < worker_count; ++i)
     {
         workers.push_back(&front.add_worker(
--- a/tests/platform/store_watch_test.cpp
+++ b/tests/platform/store_watch_test.cpp
@@ -147,6 +147,29 @@
         fixture.wait_until([&] { return !fixture.has_worker("i-1"); }, 1500ms));
 }
 
+// Guards against the same where no daemon could be asked during the cut: after
+// it another one tells that it has followed the store all along.
+BOOST_AUTO_TEST_CASE(worker_that_left_is_dropped_when_a_daemon_had_the_store)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    // The store as the other daemon sees it.
+    fake_store others_store{fixture.loop};
+    others_store.put("op", "config", make_configuration(5));
+    others_store.put("servers", "i-1", make_worker("ready"));
+    relay_daemon other{fixture, others_store.address()};
+    // Longer than any time that could hide an outage.
+    fixture.run_for(2500ms);
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(2500ms);
+    fixture.store.remove("servers", "i-1");
+    others_store.remove("servers", "i-1");
+    other.announce_to(fixture.view, "zebra");
+    fixture.store.set_fault(store_fault::none);
+    BOOST_TEST(
+        fixture.wait_until([&] { return !fixture.has_worker("i-1"); }, 1800ms));
+}
+
 // The other way round: other daemons answer, so the store was away.
 BOOST_AUTO_TEST_CASE(expired_worker_is_kept_when_other_daemons_answer)
 {
