Front, platform: a worker that is taken for cold is in the log

The logs could not tell its hypotheses apart: whether nobody knew that the workers were cold, some knew, or all knew and sent too much. worker_cold and worker_cold_ended name the source of the word (entry, answer, evacuation) and how old it may be. Which statement is in force is decided as before: the last one.

decision_steering_test, front_test, rate_limited_workers_test and platform_adapter_test pass.

--- /dev/null
+++ b/packages/decision/steering/cold_time.cpp
@@ -0,0 +1,20 @@
+#include "decision/steering/cold_time.hpp"
+
+namespace waxwingvalve::decision::steering
+{
+
+std::string_view name_of(cold_source source)
+{
+    switch (source)
+    {
+    case cold_source::entry:
+        return "entry";
+    case cold_source::answer:
+        return "answer";
+    case cold_source::evacuation:
+        return "evacuation";
+    }
+    return "unknown";
+}
+
+} // namespace waxwingvalve::decision::steering
--- /dev/null
+++ b/packages/decision/steering/cold_time.hpp
@@ -0,0 +1,49 @@
+// For how long a worker stays cold, and how a daemon knows.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "base/time.hpp"
+
+namespace waxwingvalve::decision::steering
+{
+
+enum class cold_source : std::uint8_t
+{
+    // The worker's entry in discovery.
+    entry,
+    // An answer of the worker.
+    answer,
+    // An evacuation of its zone, before which it may have become cold.
+    evacuation,
+};
+
+// Name for logs.
+std::string_view name_of(cold_source source);
+
+// What a source says of a worker's cold time.
+struct cold_statement
+{
+    cold_source source{};
+    // When it was so, at the earliest.
+    base::instant since{};
+    // End of the cold time. Not after `since` if the worker is not cold.
+    base::instant until{};
+};
+
+// What is known of one incarnation of a worker.
+class cold_time
+{
+public:
+    void apply(const cold_statement& said) { known_ = said; }
+
+    bool cold(base::instant now) const { return now < known_.until; }
+    // The statement in force.
+    const cold_statement& known() const { return known_; }
+
+private:
+    cold_statement known_{};
+};
+
+} // namespace waxwingvalve::decision::steering
--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -20,7 +20,7 @@
 worker::worker(worker_entry entry, base::instant now)
     : entry_{std::move(entry)}, incarnation_{incarnation_digest(entry_)}
 {
-    set_cold_time_left(entry_.cold_time_left, now);
+    apply_entry_cold_time(now);
 }
 
 void worker::update(worker_entry entry, base::instant now)
@@ -34,16 +34,16 @@
     incarnation_ = incarnation_digest(entry_);
     if (restarted)
     {
-        reset_observations(now);
+        reset_observations();
     }
-    set_cold_time_left(entry_.cold_time_left, now);
+    apply_entry_cold_time(now);
 }
 
-void worker::reset_observations(base::instant now)
+void worker::reset_observations()
 {
     other_load_ = 0;
     reported_at_ = {};
-    cold_until_ = now;
+    cold_time_ = {};
     failure_share_ = 0;
     ejection_ = ejection_reason::none;
     consecutive_ejections_ = 0;
@@ -59,10 +59,12 @@
     reported_at_ = now;
 }
 
-void worker::set_cold_time_left(
-    std::chrono::milliseconds left, base::instant now)
+void worker::apply_entry_cold_time(base::instant now)
 {
-    cold_until_ = now + left;
+    cold_time_.apply(
+        {.source = cold_source::entry,
+         .since = entry_.written_after,
+         .until = now + entry_.cold_time_left});
 }
 
 void worker::record_answer(
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -18,6 +18,7 @@
 
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
+#include "decision/steering/cold_time.hpp"
 #include "decision/steering/worker_backoff.hpp"
 
 namespace waxwingvalve::decision::steering
@@ -40,6 +41,9 @@
     std::int64_t started_at_ms{};
     // Sequence number of the report, which restarts with each incarnation.
     std::uint64_t report_number{};
+    // The report was not written before this time; the clock's beginning if
+    // nothing is known of its age.
+    base::instant written_after{};
 };
 
 // Digest of the worker's id and start, the same on every daemon; never 0.
@@ -112,7 +116,8 @@
     std::uint32_t in_flight() const { return in_flight_; }
 
     void report(const load_report& load, base::instant now);
-    void set_cold_time_left(std::chrono::milliseconds left, base::instant now);
+    // What another source than its entry says.
+    void set_cold_time(const cold_statement& said) { cold_time_.apply(said); }
     // `peer_failure_share` is the share of failures of all workers of the
     // service.
     void record_answer(
@@ -126,7 +131,8 @@
     // Own requests plus the decayed load of other daemons.
     double load(base::instant now) const;
     std::uint32_t slots() const { return entry_.slots; }
-    bool cold(base::instant now) const { return now < cold_until_; }
+    bool cold(base::instant now) const { return cold_time_.cold(now); }
+    const cold_statement& known_cold_time() const { return cold_time_.known(); }
     ejection_reason ejection(base::instant now) const;
     // True after an ejection, until a request succeeds. Only one request at a
     // time, the probe, is sent meanwhile.
@@ -136,7 +142,8 @@
     double failure_share() const { return failure_share_; }
 
 private:
-    void reset_observations(base::instant now);
+    void reset_observations();
+    void apply_entry_cold_time(base::instant now);
 
     worker_entry entry_;
     std::uint64_t incarnation_{};
@@ -144,7 +151,7 @@
     // Load of other daemons at the time of the last report.
     double other_load_{0};
     base::instant reported_at_{};
-    base::instant cold_until_{};
+    cold_time cold_time_{};
     double failure_share_{0};
     ejection_reason ejection_{ejection_reason::none};
     base::instant ejected_until_{};
--- /dev/null
+++ b/packages/front/fleet_cold_workers.cpp
@@ -0,0 +1,106 @@
+// Which workers are cold: what entries, answers and evacuations tell.
+#include <chrono>
+#include <utility>
+
+#include "base/log.hpp"
+#include "front/fleet_view.hpp"
+
+namespace waxwingvalve::front
+{
+
+using steering::cold_source;
+
+namespace
+{
+
+// Cold time of a worker in an evacuated zone, longer than any evacuation.
+constexpr std::chrono::hours evacuated_cold_time{1};
+
+// Logs that a worker is cold, or no longer, if that is new.
+void log_cold_time(
+    const steering::worker& worker, bool was_cold, base::instant now)
+{
+    if (worker.cold(now) == was_cold)
+    {
+        return;
+    }
+    const auto& known = worker.known_cold_time();
+    // An entry of unknown age is as old as the clock.
+    const auto age = now - known.since;
+    const auto left = worker.cold(now) ? known.until - now : base::duration{};
+    base::log_event(
+        base::log_level::info,
+        base::log_channel::routing,
+        was_cold ? "worker_cold_ended" : "worker_cold",
+        "worker",
+        worker.entry().id,
+        "source",
+        name_of(known.source),
+        "age_ms",
+        base::to_milliseconds(age),
+        "left_ms",
+        base::to_milliseconds(left));
+}
+
+} // namespace
+
+void fleet_view::record_cold_time(
+    steering::worker& worker,
+    const steering::cold_statement& said,
+    base::instant now)
+{
+    const bool was_cold = worker.cold(now);
+    worker.set_cold_time(said);
+    log_cold_time(worker, was_cold, now);
+}
+
+steering::entry_change fleet_view::put_worker(
+    steering::worker_entry entry, base::instant now)
+{
+    const auto id = entry.id;
+    const auto known = workers_.find(id);
+    const bool was_cold = known && known->cold(now);
+    const auto change = workers_.put(std::move(entry), now);
+    log_cold_time(*workers_.find(id), was_cold, now);
+    return change;
+}
+
+void fleet_view::evacuate_zone(const std::string& zone, base::instant now)
+{
+    evacuated_zones_.insert(zone);
+    // Workers may have turned cold just before the evacuation, so they are
+    // treated as cold until they report otherwise.
+    for (const auto& [id, worker] : workers_.all())
+    {
+        if (worker->entry().zone == zone)
+        {
+            record_cold_time(
+                *worker,
+                {cold_source::evacuation, now, now + evacuated_cold_time},
+                now);
+        }
+    }
+}
+
+void fleet_view::restore_zone(const std::string& zone, base::instant now)
+{
+    evacuated_zones_.erase(zone);
+    for (const auto& [id, worker] : workers_.all())
+    {
+        if (worker->entry().zone != zone)
+        {
+            continue;
+        }
+        const auto service =
+            configuration_.services.find(worker->entry().service);
+        if (service != configuration_.services.end())
+        {
+            record_cold_time(
+                *worker,
+                {cold_source::evacuation, now, now + service->second.cold_time},
+                now);
+        }
+    }
+}
+
+} // namespace waxwingvalve::front
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -111,50 +111,12 @@
     return true;
 }
 
-steering::entry_change fleet_view::put_worker(
-    steering::worker_entry entry, base::instant now)
-{
-    return workers_.put(std::move(entry), now);
-}
-
 bool fleet_view::remove_worker(const std::string& id, base::instant now)
 {
     cold_worker_limiter_.remove_idle(now - std::chrono::minutes{1});
     return workers_.remove(id);
 }
 
-void fleet_view::evacuate_zone(const std::string& zone, base::instant now)
-{
-    evacuated_zones_.insert(zone);
-    // Workers may have turned cold just before the evacuation, so they are
-    // treated as cold until they report otherwise.
-    for (const auto& [id, worker] : workers_.all())
-    {
-        if (worker->entry().zone == zone)
-        {
-            worker->set_cold_time_left(std::chrono::hours{1}, now);
-        }
-    }
-}
-
-void fleet_view::restore_zone(const std::string& zone, base::instant now)
-{
-    evacuated_zones_.erase(zone);
-    for (const auto& [id, worker] : workers_.all())
-    {
-        if (worker->entry().zone != zone)
-        {
-            continue;
-        }
-        const auto service =
-            configuration_.services.find(worker->entry().service);
-        if (service != configuration_.services.end())
-        {
-            worker->set_cold_time_left(service->second.cold_time, now);
-        }
-    }
-}
-
 fleet_view::service_state& fleet_view::state_of(std::string_view service)
 {
     const auto known = services_.find(service);
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -122,6 +122,12 @@
         base::duration latency,
         base::duration target);
 
+    // Records for how long a worker stays cold.
+    void record_cold_time(
+        steering::worker& worker,
+        const steering::cold_statement& said,
+        base::instant now);
+
     // Records the load that a worker reported with an answer.
     void record_load(
         steering::worker& worker,
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -37,7 +37,12 @@
     if (const auto cold = parse_milliseconds(
             header_value(answer.fields, context_.fields.cold_remaining)))
     {
-        worker.set_cold_time_left(*cold, now);
+        context_.view.record_cold_time(
+            worker,
+            {.source = steering::cold_source::answer,
+             .since = attempt_started_at_,
+             .until = now + *cold},
+            now);
     }
     if (header_value(answer.fields, context_.fields.worker_leaving) == "1")
     {
