Tests: a fleet overruns workers that turn cold without a word of the store (known red)

30 daemons on the real path; three workers, of which one after the other turns cold and says so in its health answers alone.

--- /dev/null
+++ b/tests/front/cold_workers_test.cpp
@@ -0,0 +1,120 @@
+// Tests the requests that reach a worker that has become cold, on the real path
+// of many daemons with heartbeats between them. Nobody can read discovery, so
+// that the worker alone can say that it is cold, in its health answers.
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "front/fleet_fixture.hpp"
+
+using namespace waxwingvalve;
+using namespace waxwingvalve::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int daemon_count = 30;
+// The daemons' list of members counts as complete after this.
+constexpr std::chrono::milliseconds settle_time{3'500};
+constexpr std::chrono::milliseconds cold_time{3'000};
+constexpr std::chrono::milliseconds call_interval{400};
+// All daemons together; three workers share it.
+constexpr double calls_per_s = daemon_count / 0.4;
+// What a cold worker may get in one second: 1.5 times the rate that it
+// tolerates, and 5.
+constexpr double allowed_per_s = 1.5 * test_cold_rate + 5;
+
+struct cold_worker
+{
+    const scripted_worker* worker{};
+    base::instant cold_until{};
+    // Requests that came while it was cold.
+    std::vector<base::instant> cold_arrivals{};
+    int arrivals{};
+
+    scripted_reply reply()
+    {
+        const auto now = base::monotonic_clock::now();
+        if (worker->requests().back().starts_with("GET /health "))
+        {
+            return {.answer = health_answer(now)};
+        }
+        ++arrivals;
+        if (now < cold_until)
+        {
+            cold_arrivals.push_back(now);
+        }
+        return {.answer = success_answer("body"), .delay = 5ms};
+    }
+
+    std::string health_answer(base::instant now) const
+    {
+        const auto left = std::max(base::duration{}, cold_until - now);
+        return fmt::format(
+            "HTTP/1.1 200 OK\r\nWorker-Id: {}\r\nCold-Ms: {}\r\n"
+            "Content-Length: 0\r\n\r\n",
+            worker->id(),
+            base::to_milliseconds(left));
+    }
+
+    long most_in_a_second() const
+    {
+        long most = 0;
+        for (const auto from : cold_arrivals)
+        {
+            const auto count = std::ranges::count_if(
+                cold_arrivals,
+                [&](base::instant at) { return at >= from && at < from + 1s; });
+            most = std::max(most, count);
+        }
+        return most;
+    }
+};
+
+std::shared_ptr<cold_worker> add_cold_worker(
+    fleet_fixture& fleet, const std::string& id)
+{
+    auto one = std::make_shared<cold_worker>();
+    one->worker = &fleet.add_worker(id, [one](int) { return one->reply(); });
+    return one;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(cold_workers)
+
+// FAILBACK: with the store away, workers that had become cold got their usual
+// load from all daemons and ended.
+BOOST_AUTO_TEST_CASE(a_fleet_spares_a_worker_that_says_it_is_cold)
+{
+    fleet_fixture fleet{daemon_count};
+    const auto first = add_cold_worker(fleet, "a");
+    const auto second = add_cold_worker(fleet, "b");
+    add_cold_worker(fleet, "c");
+    fleet.start_callers(call_interval, caller_phase::spread);
+    fleet.run_for(settle_time);
+    for (const auto& turning : {first, second, first})
+    {
+        turning->cold_arrivals.clear();
+        turning->cold_until = base::monotonic_clock::now() + cold_time;
+        fleet.run_for(cold_time);
+        BOOST_TEST(turning->most_in_a_second() <= allowed_per_s);
+        // A part of what it tolerates.
+        BOOST_TEST(turning->cold_arrivals.size() >= 3U);
+    }
+    // Once warm, it gets its usual load again: half of it, or more.
+    first->arrivals = 0;
+    fleet.run_for(2s);
+    BOOST_TEST(first->arrivals >= 0.5 * calls_per_s / 3 * 2);
+    // Nobody is refused, since the others have room.
+    fleet.finish_callers(10s);
+    BOOST_TEST(fleet.callers().refused == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/front/fleet_fixture.cpp
+++ b/tests/front/fleet_fixture.cpp
@@ -170,25 +170,33 @@
 }
 
 void fleet_fixture::call_repeatedly(
-    daemon& to, std::chrono::milliseconds interval)
+    daemon& to,
+    std::chrono::milliseconds wait,
+    std::chrono::milliseconds interval)
 {
-    to.timer.expires_after(interval);
+    to.timer.expires_after(wait);
     to.timer.async_wait(
         [this, &to, interval](const error_code& cancelled)
         {
             if (!cancelled)
             {
                 call(to);
-                call_repeatedly(to, interval);
+                call_repeatedly(to, interval, interval);
             }
         });
 }
 
-void fleet_fixture::start_callers(std::chrono::milliseconds interval)
+void fleet_fixture::start_callers(
+    std::chrono::milliseconds interval, caller_phase phase)
 {
+    const auto step = phase == caller_phase::spread
+                          ? interval / static_cast<int>(daemons_.size())
+                          : std::chrono::milliseconds{};
+    auto wait = interval;
     for (auto& one : daemons_)
     {
-        call_repeatedly(*one, interval);
+        call_repeatedly(*one, wait, interval);
+        wait += step;
     }
 }
 
--- a/tests/front/fleet_fixture.hpp
+++ b/tests/front/fleet_fixture.hpp
@@ -33,6 +33,15 @@
     base::duration time{};
 };
 
+// When the callers of the daemons send, in each interval.
+enum class caller_phase : std::uint8_t
+{
+    // All at the same moment.
+    together,
+    // One after the other.
+    spread,
+};
+
 class fleet_fixture
 {
 public:
@@ -46,7 +55,9 @@
         const std::string& id, scripted_worker::reply_function next_reply);
 
     // Each daemon gets a request from a new caller every `interval`.
-    void start_callers(std::chrono::milliseconds interval);
+    void start_callers(
+        std::chrono::milliseconds interval,
+        caller_phase phase = caller_phase::together);
     // Sends no more requests and waits for the end of those on their way, for
     // up to `limit`.
     void finish_callers(std::chrono::milliseconds limit);
@@ -62,7 +73,11 @@
     struct caller;
 
     void call(daemon& to);
-    void call_repeatedly(daemon& to, std::chrono::milliseconds interval);
+    // Calls after `wait`, and then each `interval`.
+    void call_repeatedly(
+        daemon& to,
+        std::chrono::milliseconds wait,
+        std::chrono::milliseconds interval);
 
     // Before the event loop, whose handlers hold parts of them until its end.
     std::vector<std::unique_ptr<front::body_memory>> memories_;
--- a/tests/front/front_fixture.cpp
+++ b/tests/front/front_fixture.cpp
@@ -84,7 +84,11 @@
     auto split = make_route("split", "/split/", true);
     split.parts = {{"desk", 1}, {"without_workers", 1}};
     configuration.routes.push_back(std::move(split));
-    configuration.services["desk"] = {.name = "desk"};
+    configuration.services["desk"] = {
+        .name = "desk",
+        .health_path = "/health",
+        .cold_time = std::chrono::seconds{3},
+        .cold_requests_per_s = test_cold_rate};
     configuration.limits.head_bytes = 4'096;
     configuration.limits.body_bytes = 64 * 1'024;
     configuration.limits.head_time = std::chrono::milliseconds{600};
--- a/tests/front/front_fixture.hpp
+++ b/tests/front/front_fixture.hpp
@@ -38,6 +38,9 @@
     std::chrono::milliseconds delay{};
 };
 
+// Requests a second that a cold worker of the service "desk" tolerates.
+constexpr double test_cold_rate = 7.2;
+
 // The settings under which fixtures run a serving path: names of fields, two
 // routes of the service "desk", and loose limits.
 front::header_names test_fields();
