Steering: an older word doesn't end a worker's cold time

What callers could see: FAILBACK, the same class as before. Each statement on a cold time replaced the one before it. At the store's return a daemon reads entries that were written before the outage; one that says 0 ended the cold time that an answer, an evacuation or another daemon had set since.

An older one can make a cold time longer, but not end it.

--- a/packages/decision/steering/cold_time.cpp
+++ b/packages/decision/steering/cold_time.cpp
@@ -21,4 +21,18 @@
     return "unknown";
 }
 
+void cold_time::apply(const cold_statement& said)
+{
+    if (said.since >= known_.since)
+    {
+        known_ = said;
+        return;
+    }
+    if (said.until > known_.until)
+    {
+        known_.source = said.source;
+        known_.until = said.until;
+    }
+}
+
 } // namespace waxwingvalve::decision::steering
--- a/packages/decision/steering/cold_time.hpp
+++ b/packages/decision/steering/cold_time.hpp
@@ -37,10 +37,14 @@
 };
 
 // What is known of one incarnation of a worker.
+//
+// Statements overtake each other: an entry that is read after an outage of the
+// store was written before it. An older one can make a cold time longer, but
+// doesn't end it.
 class cold_time
 {
 public:
-    void apply(const cold_statement& said) { known_ = said; }
+    void apply(const cold_statement& said);
 
     bool cold(base::instant now) const { return now < known_.until; }
     // The statement in force.
