Front: a request isn't sent to a worker that has become cold since it was placed

Change: may_send counts it against the worker's cold rate if the cold time has become known since; otherwise the request looks for another worker.

Evidence: cold_workers/a_request_is_not_sent_after_its_worker_has_become_cold fails without the change.

--- a/packages/decision/steering/cold_time.cpp
+++ b/packages/decision/steering/cold_time.cpp
@@ -21,7 +21,17 @@
     return "unknown";
 }
 
-void cold_time::apply(const cold_statement& said)
+void cold_time::apply(const cold_statement& said, base::instant now)
+{
+    const bool was_cold = cold(now);
+    adopt(said);
+    if (!was_cold && cold(now))
+    {
+        known_since_ = now;
+    }
+}
+
+void cold_time::adopt(const cold_statement& said)
 {
     if (said.since >= known_.since)
     {
--- a/packages/decision/steering/cold_time.hpp
+++ b/packages/decision/steering/cold_time.hpp
@@ -44,14 +44,19 @@
 class cold_time
 {
 public:
-    void apply(const cold_statement& said);
+    void apply(const cold_statement& said, base::instant now);
 
     bool cold(base::instant now) const { return now < known_.until; }
     // The statement in force.
     const cold_statement& known() const { return known_; }
+    // When the worker was first taken for cold, in the latest cold time.
+    base::instant known_since() const { return known_since_; }
 
 private:
+    void adopt(const cold_statement& said);
+
     cold_statement known_{};
+    base::instant known_since_{};
 };
 
 } // namespace waxwingvalve::decision::steering
--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -64,7 +64,8 @@
     cold_time_.apply(
         {.source = cold_source::entry,
          .since = entry_.written_after,
-         .until = now + entry_.cold_time_left});
+         .until = now + entry_.cold_time_left},
+        now);
 }
 
 void worker::record_answer(
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -117,7 +117,10 @@
 
     void report(const load_report& load, base::instant now);
     // What another source than its entry says.
-    void set_cold_time(const cold_statement& said) { cold_time_.apply(said); }
+    void set_cold_time(const cold_statement& said, base::instant now)
+    {
+        cold_time_.apply(said, now);
+    }
     // `peer_failure_share` is the share of failures of all workers of the
     // service.
     void record_answer(
@@ -133,6 +136,7 @@
     std::uint32_t slots() const { return entry_.slots; }
     bool cold(base::instant now) const { return cold_time_.cold(now); }
     const cold_statement& known_cold_time() const { return cold_time_.known(); }
+    base::instant cold_known_since() const { return cold_time_.known_since(); }
     ejection_reason ejection(base::instant now) const;
     // True after an ejection, until a request succeeds. Only one request at a
     // time, the probe, is sent meanwhile.
--- a/packages/front/fleet_cold_workers.cpp
+++ b/packages/front/fleet_cold_workers.cpp
@@ -51,7 +51,7 @@
     base::instant now)
 {
     const bool was_cold = worker.cold(now);
-    worker.set_cold_time(said);
+    worker.set_cold_time(said, now);
     const bool said_by_worker =
         said.source == cold_source::answer || said.source == cold_source::peer;
     if (said_by_worker && worker.cold(now))
--- a/packages/front/fleet_placement.cpp
+++ b/packages/front/fleet_placement.cpp
@@ -69,13 +69,19 @@
     const bool allowed = known && usable(worker) &&
                          !worker.backoff().active(now) &&
                          home_region_allows(route, region_of(entry.zone));
-    const auto limit = rate_limits_.find(worker.incarnation());
-    if (!allowed || !limit || limit->known_since <= placed_at)
+    if (!allowed)
+    {
+        return false;
+    }
+    // What has become known since was not counted when it was placed.
+    const bool cold = worker.cold(now) && worker.cold_known_since() > placed_at;
+    if (cold && !acquire_cold(worker, now))
     {
-        return allowed;
+        return false;
     }
-    // It was not counted when it was placed.
-    return rate_limit_pacer_.try_acquire(worker.incarnation(), now);
+    const auto limit = rate_limits_.find(worker.incarnation());
+    const bool limited = limit && limit->known_since > placed_at;
+    return !limited || rate_limit_pacer_.try_acquire(worker.incarnation(), now);
 }
 
 std::vector<steering::worker_candidate> fleet_view::candidates(
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -109,8 +109,9 @@
         const placement_request& request, base::instant now);
 
     // Whether a request that was placed at the worker at `placed_at` may still
-    // be sent there: a configuration, an evacuation, the worker's end or a rate
-    // limit may have come between. Counts it against such a limit.
+    // be sent there: a configuration, an evacuation, the worker's end, a rate
+    // limit or a cold time may have come between. Counts it against the limits
+    // of these.
     bool may_send(
         const steering::worker& worker,
         const steering::route& route,
--- a/tests/decision/steering/cold_time_test.cpp
+++ b/tests/decision/steering/cold_time_test.cpp
@@ -35,7 +35,8 @@
 BOOST_AUTO_TEST_CASE(an_entry_written_before_does_not_end_a_cold_time)
 {
     worker subject{entry(0ms, begin), begin};
-    subject.set_cold_time({cold_source::answer, begin + 5s, begin + 8s});
+    subject.set_cold_time(
+        {cold_source::answer, begin + 5s, begin + 8s}, begin + 5s);
     subject.update(entry(0ms, begin + 1s), begin + 6s);
     BOOST_TEST(subject.cold(begin + 7s));
     BOOST_TEST(!subject.cold(begin + 8s));
@@ -46,7 +47,8 @@
 BOOST_AUTO_TEST_CASE(an_entry_written_before_does_not_undo_an_evacuation)
 {
     worker subject{entry(0ms, begin), begin};
-    subject.set_cold_time({cold_source::evacuation, begin + 5s, begin + 8s});
+    subject.set_cold_time(
+        {cold_source::evacuation, begin + 5s, begin + 8s}, begin + 5s);
     subject.update(entry(0ms, instant{}), begin + 6s);
     BOOST_TEST(subject.cold(begin + 7s));
 }
@@ -54,7 +56,8 @@
 BOOST_AUTO_TEST_CASE(an_entry_written_later_ends_a_cold_time)
 {
     worker subject{entry(0ms, begin), begin};
-    subject.set_cold_time({cold_source::evacuation, begin + 5s, begin + 1h});
+    subject.set_cold_time(
+        {cold_source::evacuation, begin + 5s, begin + 1h}, begin + 5s);
     subject.update(entry(0ms, begin + 6s), begin + 7s);
     BOOST_TEST(!subject.cold(begin + 7s));
 }
@@ -63,7 +66,8 @@
 BOOST_AUTO_TEST_CASE(an_entry_of_unknown_age_makes_a_cold_time_longer)
 {
     worker subject{entry(0ms, begin), begin};
-    subject.set_cold_time({cold_source::answer, begin + 5s, begin + 5s});
+    subject.set_cold_time(
+        {cold_source::answer, begin + 5s, begin + 5s}, begin + 5s);
     subject.update(entry(3s, instant{}), begin + 6s);
     BOOST_TEST(subject.cold(begin + 8s));
     BOOST_TEST(!subject.cold(begin + 9s));
@@ -73,17 +77,35 @@
 BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_check_does_not_end_a_cold_time)
 {
     worker subject{entry(0ms, begin), begin};
-    subject.set_cold_time({cold_source::peer, begin + 5s, begin + 8s});
-    subject.set_cold_time({cold_source::answer, begin + 4s, begin + 4s});
+    subject.set_cold_time(
+        {cold_source::peer, begin + 5s, begin + 8s}, begin + 5s);
+    subject.set_cold_time(
+        {cold_source::answer, begin + 4s, begin + 4s}, begin + 4s);
     BOOST_TEST(subject.cold(begin + 6s));
-    subject.set_cold_time({cold_source::answer, begin + 6s, begin + 6s});
+    subject.set_cold_time(
+        {cold_source::answer, begin + 6s, begin + 6s}, begin + 6s);
     BOOST_TEST(!subject.cold(begin + 6s));
 }
 
+// A request may wait for its connection while its worker becomes cold.
+BOOST_AUTO_TEST_CASE(a_cold_time_is_known_since_its_first_statement)
+{
+    worker subject{entry(0ms, begin), begin};
+    subject.set_cold_time(
+        {cold_source::answer, begin + 1s, begin + 4s}, begin + 1s);
+    subject.set_cold_time(
+        {cold_source::answer, begin + 2s, begin + 4s}, begin + 2s);
+    BOOST_TEST((subject.cold_known_since() == begin + 1s));
+    subject.set_cold_time(
+        {cold_source::answer, begin + 5s, begin + 8s}, begin + 5s);
+    BOOST_TEST((subject.cold_known_since() == begin + 5s));
+}
+
 BOOST_AUTO_TEST_CASE(a_new_incarnation_is_as_its_entry_says)
 {
     worker subject{entry(0ms, begin), begin};
-    subject.set_cold_time({cold_source::evacuation, begin + 5s, begin + 1h});
+    subject.set_cold_time(
+        {cold_source::evacuation, begin + 5s, begin + 1h}, begin + 5s);
     auto restarted = entry(0ms, begin + 1s);
     restarted.started_at_ms = 1;
     subject.update(restarted, begin + 6s);
--- a/tests/front/cold_workers_test.cpp
+++ b/tests/front/cold_workers_test.cpp
@@ -150,6 +150,26 @@
     BOOST_TEST(fleet.callers().refused == 0);
 }
 
+// FAILBACK: requests that waited for their connections were sent to a worker
+// that had become cold meanwhile, beyond what it tolerates.
+BOOST_AUTO_TEST_CASE(a_request_is_not_sent_after_its_worker_has_become_cold)
+{
+    front_fixture front;
+    front.add_worker("a", [](int) { return scripted_reply{}; });
+    const auto* route = &front.view.configuration().routes.front();
+    const auto now = base::monotonic_clock::now();
+    const auto placed = front.view.place({route, "desk", "object"}, now);
+    BOOST_REQUIRE(placed.has_value());
+    auto& worker = *placed.value();
+    BOOST_TEST(front.view.may_send(worker, *route, now, now + 1ms));
+    front.view.record_cold_time(
+        worker,
+        {decision::steering::cold_source::peer, now + 2ms, now + 3s},
+        now + 2ms);
+    // This daemon's list of others isn't complete, so that it has no part.
+    BOOST_TEST(!front.view.may_send(worker, *route, now, now + 3ms));
+}
+
 // Nobody starves a warm worker because discovery can't be read.
 BOOST_AUTO_TEST_CASE(warm_workers_get_their_usual_load_without_discovery)
 {
