Steering: a limit on shifts begins at the shares that there are

Change: while there is no limit, the limiter follows the requests: it keeps a tenth of what it remembers, and no credit.

--- a/packages/decision/steering/region_shift_limiter.cpp
+++ b/packages/decision/steering/region_shift_limiter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace waxwingvalve::decision::steering
 {
@@ -73,6 +74,30 @@
                { return credit_with_next(other.second, step) <= own_credit; });
 }
 
+void region_shift_limiter::forget()
+{
+    requests_ *= kept_history;
+    for (auto& [region, recent] : regions_)
+    {
+        recent.requests *= kept_history;
+    }
+}
+
+void region_shift_limiter::follow(const std::string& region, base::instant now)
+{
+    decay(now);
+    if (now - std::exchange(followed_at_, now) > follow_gap)
+    {
+        forget();
+    }
+    requests_ += 1;
+    regions_[region].requests += 1;
+    for (auto& [name, recent] : regions_)
+    {
+        recent.credit = 0;
+    }
+}
+
 double region_shift_limiter::credit_with_next(
     const region_count& one, double step) const
 {
--- a/packages/decision/steering/region_shift_limiter.hpp
+++ b/packages/decision/steering/region_shift_limiter.hpp
@@ -30,6 +30,11 @@
     // Limit of the credit in requests, in both directions. Above 1, so that a
     // daemon with few requests is not held to fractions of a request.
     static constexpr double max_credit = 1.5;
+    // Part of the recent requests that still counts when the limit is lifted.
+    static constexpr double kept_history = 0.1;
+    // Requests without a limit that are further apart belong to different
+    // changes.
+    static constexpr base::duration follow_gap{std::chrono::seconds{2}};
 
     // Sets the shares to start from, as planned by region_plan, while there are
     // too few recent requests.
@@ -43,6 +48,10 @@
     // regions.
     void count(const std::string& region, double step, base::instant now);
 
+    // Records a request for which there is no limit. Once there is one again,
+    // it holds the shares to where they have moved, not to where they were.
+    void follow(const std::string& region, base::instant now);
+
 private:
     struct region_count
     {
@@ -53,6 +62,7 @@
     };
 
     void decay(base::instant now);
+    void forget();
     // Returns the share that the region may have now.
     double allowed_share(const region_count& one, double step) const;
     // Returns the credit including the next request's share; from 1 on the
@@ -63,6 +73,8 @@
     // Recent requests in all regions, exponentially decayed.
     double requests_{0};
     base::instant decayed_at_{};
+    // Time of the last request without a limit.
+    base::instant followed_at_{};
 };
 
 } // namespace waxwingvalve::decision::steering
--- a/packages/front/fleet_placement.cpp
+++ b/packages/front/fleet_placement.cpp
@@ -175,7 +175,14 @@
     {
         return false;
     }
-    region_shift_limiter_.count(name, options_.region_step, now);
+    if (limit_applies)
+    {
+        region_shift_limiter_.count(name, options_.region_step, now);
+    }
+    else
+    {
+        region_shift_limiter_.follow(name, now);
+    }
     worker.request_sent();
     return true;
 }
