Steering, front: a worker that becomes cold in use is spared at once

Change: senders of a worker that was warm before wait for a whole interval first. A check that waits 60 ms, in place of 100, counts as waiting, and checks are sent in steps of 20 ms; without need the timer wakes five times a second, not 25.

Evidence: cold_worker_limiters/nothing_is_added_at_once_to_the_load_before.

--- a/packages/decision/steering/cold_time.cpp
+++ b/packages/decision/steering/cold_time.cpp
@@ -28,7 +28,9 @@
     if (!was_cold && cold(now))
     {
         known_since_ = now;
+        was_warm_ = known_any_;
     }
+    known_any_ = true;
 }
 
 void cold_time::adopt(const cold_statement& said)
--- a/packages/decision/steering/cold_time.hpp
+++ b/packages/decision/steering/cold_time.hpp
@@ -51,12 +51,17 @@
     const cold_statement& known() const { return known_; }
     // When the worker was first taken for cold, in the latest cold time.
     base::instant known_since() const { return known_since_; }
+    // Whether it was taken for warm before, in the same incarnation.
+    bool was_warm() const { return was_warm_; }
 
 private:
     void adopt(const cold_statement& said);
 
     cold_statement known_{};
     base::instant known_since_{};
+    bool was_warm_{false};
+    // Any statement has been applied.
+    bool known_any_{false};
 };
 
 } // namespace waxwingvalve::decision::steering
--- a/packages/decision/steering/cold_worker_limiter.cpp
+++ b/packages/decision/steering/cold_worker_limiter.cpp
@@ -28,7 +28,10 @@
             worker.requests_per_s,
             fleet);
         pacer_.set_rate(
-            worker.incarnation, share * worker.requests_per_s, false, now);
+            worker.incarnation,
+            share * worker.requests_per_s,
+            worker.was_loaded,
+            now);
     }
     return pacer_.try_acquire(worker.incarnation, now);
 }
--- a/packages/decision/steering/cold_worker_limiter.hpp
+++ b/packages/decision/steering/cold_worker_limiter.hpp
@@ -22,6 +22,8 @@
     std::uint64_t incarnation{};
     // What it tolerates from all daemons together.
     double requests_per_s{};
+    // It got its usual requests until it became cold, which count already.
+    bool was_loaded{};
 };
 
 class cold_worker_limiter
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -137,6 +137,8 @@
     bool cold(base::instant now) const { return cold_time_.cold(now); }
     const cold_statement& known_cold_time() const { return cold_time_.known(); }
     base::instant cold_known_since() const { return cold_time_.known_since(); }
+    // Whether it has become cold while it got its usual requests.
+    bool became_cold() const { return cold_time_.was_warm(); }
     ejection_reason ejection(base::instant now) const;
     // True after an ejection, until a request succeeds. Only one request at a
     // time, the probe, is sent meanwhile.
--- a/packages/front/fleet_cold_workers.cpp
+++ b/packages/front/fleet_cold_workers.cpp
@@ -82,7 +82,8 @@
         {.worker_id = entry.id,
          .worker_region = region,
          .incarnation = worker.incarnation(),
-         .requests_per_s = service->second.cold_requests_per_s},
+         .requests_per_s = service->second.cold_requests_per_s,
+         .was_loaded = worker.became_cold()},
         senders(now),
         now);
 }
--- a/packages/front/worker_health.cpp
+++ b/packages/front/worker_health.cpp
@@ -22,12 +22,12 @@
 
 void worker_health::start()
 {
-    schedule();
+    schedule(check_interval);
 }
 
-void worker_health::schedule()
+void worker_health::schedule(std::chrono::milliseconds wait)
 {
-    timer_.expires_after(check_interval / steps_per_interval);
+    timer_.expires_after(wait);
     timer_.async_wait(
         [this](const boost::system::error_code& cancelled)
         {
@@ -35,18 +35,17 @@
             {
                 return;
             }
-            step();
-            schedule();
+            schedule(step());
         });
 }
 
-void worker_health::step()
+std::chrono::milliseconds worker_health::step()
 {
     const auto now = base::monotonic_clock::now();
     if (context_.view.discovery_current(now))
     {
         stop_asking();
-        return;
+        return check_interval;
     }
     ++step_;
     choose_workers(now);
@@ -60,6 +59,7 @@
     {
         heartbeats_.tell_cold_workers(news);
     }
+    return check_interval / steps_per_interval;
 }
 
 void worker_health::choose_workers(base::instant now)
--- a/packages/front/worker_health.hpp
+++ b/packages/front/worker_health.hpp
@@ -31,7 +31,7 @@
     static constexpr std::chrono::milliseconds check_timeout{3'000};
     // A worker whose check waits for longer is assumed to be cold if others of
     // its zone have become so.
-    static constexpr std::chrono::milliseconds answer_limit{100};
+    static constexpr std::chrono::milliseconds answer_limit{60};
     // How long that is assumed; again while the check waits.
     static constexpr std::chrono::milliseconds assumed_cold_time{1'500};
 
@@ -41,7 +41,7 @@
 
 private:
     // The checks of an interval are spread over this many steps.
-    static constexpr std::uint32_t steps_per_interval = 5;
+    static constexpr std::uint32_t steps_per_interval = 10;
     // The workers to ask are chosen anew after this time.
     static constexpr std::chrono::milliseconds choice_lifetime{1'000};
 
@@ -57,8 +57,9 @@
         base::instant answered{};
     };
 
-    void schedule();
-    void step();
+    void schedule(std::chrono::milliseconds wait);
+    // Returns the time until the next step.
+    std::chrono::milliseconds step();
     void choose_workers(base::instant now);
     void check(asked_worker& asked, base::instant now);
     void send_check(
--- a/tests/decision/steering/cold_time_test.cpp
+++ b/tests/decision/steering/cold_time_test.cpp
@@ -99,6 +99,9 @@
     subject.set_cold_time(
         {cold_source::answer, begin + 5s, begin + 8s}, begin + 5s);
     BOOST_TEST((subject.cold_known_since() == begin + 5s));
+    BOOST_TEST(subject.became_cold());
+    // One that has just started had no load before.
+    BOOST_TEST(!worker(entry(3s, begin), begin).became_cold());
 }
 
 BOOST_AUTO_TEST_CASE(a_new_incarnation_is_as_its_entry_says)
--- a/tests/decision/steering/cold_worker_limiter_test.cpp
+++ b/tests/decision/steering/cold_worker_limiter_test.cpp
@@ -43,6 +43,8 @@
                              { return duration{}; }};
     // The list of daemons counts as complete from this time on.
     duration settled_at{};
+    // It got its usual requests until it became cold.
+    bool was_loaded{};
     // The worker is cold, and gets requests, in these times.
     std::function<bool(duration)> cold{[](duration) { return true; }};
 };
@@ -98,7 +100,8 @@
                                      {.worker_id = worker_id,
                                       .worker_region = worker_region,
                                       .incarnation = incarnation,
-                                      .requests_per_s = what.rate},
+                                      .requests_per_s = what.rate,
+                                      .was_loaded = what.was_loaded},
                                      {.self = name,
                                       .daemons = known[i],
                                       .may_send = at >= what.settled_at,
@@ -213,6 +216,24 @@
     }
 }
 
+// FAILBACK: a busy worker had got its usual requests in the second in which it
+// became cold, and those of the senders came on top.
+BOOST_AUTO_TEST_CASE(nothing_is_added_at_once_to_the_load_before)
+{
+    for (auto what : fleets)
+    {
+        what.was_loaded = true;
+        what.length = 300ms;
+        BOOST_TEST(play(what).empty());
+        what.length = 6s;
+        check_bound(what);
+        const std::chrono::duration<double> span{what.length};
+        BOOST_TEST(
+            static_cast<double>(play(what).size()) >=
+            0.5 * what.rate * span.count());
+    }
+}
+
 // A partitioned fleet in which each daemon hears only itself.
 BOOST_AUTO_TEST_CASE(isolated_daemons_keep_the_rate)
 {
