Steering: a worker that says it is cold after that was assumed is told of at once

What callers saw: FAILBACK, the same class.

Cause, from the logs: at 10.5 s all daemons assume i-9c9080e16d to be cold, for 1.5 s; its check is answered within a second of that, and as the others had been told of the worker less than a second before, they weren't told what it said. The next check waits 0.7 s; from 12.0 s on two daemons send it their usual requests, and at 12.2 s they hear that it is cold until 13.3 s.

Change: the others are told at once when the source of the newest word has changed, and again each second while the cold time lasts, whether there is a new word or not.

--- a/packages/decision/steering/cold_news.cpp
+++ b/packages/decision/steering/cold_news.cpp
@@ -3,13 +3,17 @@
 namespace waxwingvalve::decision::steering
 {
 
-void cold_news::record(
-    std::uint64_t worker, const cold_statement& said, base::instant now)
+void cold_news::record(std::uint64_t worker, const cold_statement& said)
 {
-    auto& known = workers_[worker];
-    known.said = said;
-    known.pending = known.pending || known.told_at == base::instant{} ||
-                    now - known.told_at >= repeat_interval;
+    workers_[worker].said = said;
+}
+
+bool cold_news::due(const told_worker& one, base::instant now)
+{
+    // What the others assume ends sooner than what the worker says.
+    const bool confirmed = one.told_as != one.said.source;
+    return one.told_at == base::instant{} || confirmed ||
+           now - one.told_at >= repeat_interval;
 }
 
 std::vector<schema::cold_worker> cold_news::take(base::instant now)
@@ -20,12 +24,12 @@
     std::vector<schema::cold_worker> news;
     for (auto& [worker, known] : workers_)
     {
-        if (!known.pending)
+        if (!due(known, now))
         {
             continue;
         }
-        known.pending = false;
         known.told_at = now;
+        known.told_as = known.said.source;
         news.push_back(
             {.worker = worker,
              .age_ms = static_cast<std::uint32_t>(
--- a/packages/decision/steering/cold_news.hpp
+++ b/packages/decision/steering/cold_news.hpp
@@ -21,10 +21,8 @@
     static constexpr base::duration repeat_interval{
         std::chrono::milliseconds{1'000}};
 
-    // The worker of this incarnation digest is cold. Repeats `said` while it
-    // is the newest word.
-    void record(
-        std::uint64_t worker, const cold_statement& said, base::instant now);
+    // The worker of this incarnation digest is cold: the newest word on it.
+    void record(std::uint64_t worker, const cold_statement& said);
 
     // Returns what is to be told now.
     std::vector<schema::cold_worker> take(base::instant now);
@@ -33,11 +31,13 @@
     struct told_worker
     {
         cold_statement said{};
-        // When the others were told last.
+        // When the others were told last, and from which source.
         base::instant told_at{};
-        bool pending{};
+        cold_source told_as{};
     };
 
+    static bool due(const told_worker& one, base::instant now);
+
     std::map<std::uint64_t, told_worker> workers_;
 };
 
--- a/packages/front/worker_health.cpp
+++ b/packages/front/worker_health.cpp
@@ -183,7 +183,7 @@
     const auto& known = asked.worker->known_cold_time();
     if (known.source == cold_source::answer && asked.worker->cold(now))
     {
-        news_.record(asked.incarnation, known, now);
+        news_.record(asked.incarnation, known);
     }
 }
 
@@ -203,7 +203,7 @@
         .since = asked.sent_at,
         .until = now + assumed_cold_time};
     context_.view.record_cold_time(*asked.worker, said, now);
-    news_.record(asked.incarnation, said, now);
+    news_.record(asked.incarnation, said);
 }
 
 void worker_health::abandon_check(asked_worker& asked)
--- a/tests/decision/steering/cold_news_test.cpp
+++ b/tests/decision/steering/cold_news_test.cpp
@@ -24,7 +24,7 @@
 BOOST_AUTO_TEST_CASE(a_cold_worker_is_told_of_at_once_with_its_age)
 {
     cold_news news;
-    news.record(worker, {cold_source::answer, begin - 40ms, begin + 3s}, begin);
+    news.record(worker, {cold_source::answer, begin - 40ms, begin + 3s});
     const auto told = news.take(begin + 10ms);
     BOOST_REQUIRE(told.size() == 1U);
     BOOST_TEST(told[0].worker == worker);
@@ -41,7 +41,7 @@
     std::size_t told = 0;
     for (auto now = begin; now < begin + 3s; now += 200ms)
     {
-        news.record(worker, {cold_source::answer, now, begin + 3s}, now);
+        news.record(worker, {cold_source::answer, now, begin + 3s});
         told += news.take(now).size();
     }
     BOOST_TEST(told == 3U);
@@ -51,12 +51,39 @@
 BOOST_AUTO_TEST_CASE(an_assumption_is_told_as_such)
 {
     cold_news news;
-    news.record(worker, {cold_source::assumed, begin, begin + 1s}, begin);
+    news.record(worker, {cold_source::assumed, begin, begin + 1s});
     const auto told = news.take(begin);
     BOOST_REQUIRE(told.size() == 1U);
     BOOST_TEST(told[0].assumed);
 }
 
+// FAILBACK: the worker said that it was cold soon after this had been assumed;
+// the others weren't told, and took it for warm when the assumption ended.
+BOOST_AUTO_TEST_CASE(a_worker_that_confirms_an_assumption_is_told_of_at_once)
+{
+    cold_news news;
+    news.record(worker, {cold_source::assumed, begin, begin + 1500ms});
+    BOOST_TEST(news.take(begin).size() == 1U);
+    news.record(worker, {cold_source::answer, begin, begin + 3s});
+    const auto told = news.take(begin + 500ms);
+    BOOST_REQUIRE(told.size() == 1U);
+    BOOST_TEST(!told[0].assumed);
+    BOOST_TEST(told[0].left_ms == 2'500U);
+}
+
+// The next check may wait for longer than the cold time.
+BOOST_AUTO_TEST_CASE(it_is_told_again_also_without_a_new_word)
+{
+    cold_news news;
+    news.record(worker, {cold_source::answer, begin, begin + 3s});
+    std::size_t told = 0;
+    for (auto now = begin; now < begin + 4s; now += 20ms)
+    {
+        told += news.take(now).size();
+    }
+    BOOST_TEST(told == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(cold_zones_tests)
