Steering: senders of a cold worker keep their part while it is cold

Cause, by reading: a worker for which a daemon had no request for 2 s began anew, with a random wait; in a large fleet a sender has requests for one worker seldom, so that each of them found it waiting.

Change: a new begin is tied to the worker's cold time, and its waits count from there. Parts that come due later in the same cold time begin when they are given.

Evidence: the tests of cold_worker_limiters, with a new one of a sender with few requests, and cold_workers_test pass.

--- a/packages/decision/steering/cold_worker_limiter.cpp
+++ b/packages/decision/steering/cold_worker_limiter.cpp
@@ -13,8 +13,10 @@
         return false;
     }
     auto& known = workers_[worker.incarnation];
-    const auto asked_before = std::exchange(known.asked_at, now);
-    if (now - asked_before >= idle_time)
+    known.asked_at = now;
+    const bool begins =
+        std::exchange(known.cold_since, worker.cold_since) != worker.cold_since;
+    if (begins)
     {
         pacer_.remove(worker.incarnation);
         known.shared_at = {};
@@ -31,7 +33,7 @@
             worker.incarnation,
             share * worker.requests_per_s,
             worker.was_loaded,
-            now);
+            begins ? worker.cold_since : now);
     }
     return pacer_.try_acquire(worker.incarnation, now);
 }
--- a/packages/decision/steering/cold_worker_limiter.hpp
+++ b/packages/decision/steering/cold_worker_limiter.hpp
@@ -22,6 +22,8 @@
     std::uint64_t incarnation{};
     // What it tolerates from all daemons together.
     double requests_per_s{};
+    // Since when this daemon takes it for cold.
+    base::instant cold_since{};
     // It got its usual requests until it became cold, which count already.
     bool was_loaded{};
 };
@@ -33,9 +35,6 @@
     // daemons may have changed.
     static constexpr base::duration share_lifetime{
         std::chrono::milliseconds{500}};
-    // A worker for which nothing was asked for so long begins anew: parts that
-    // many daemons haven't used would come due at once.
-    static constexpr base::duration idle_time{std::chrono::seconds{2}};
 
     explicit cold_worker_limiter(std::uint64_t seed) : pacer_{seed} {}
 
@@ -53,6 +52,9 @@
     {
         base::instant asked_at{};
         base::instant shared_at{};
+        // Each cold time begins anew: parts that many daemons haven't used
+        // would come due at once.
+        base::instant cold_since{};
     };
 
     rate_limit_pacer pacer_;
--- a/packages/front/fleet_cold_workers.cpp
+++ b/packages/front/fleet_cold_workers.cpp
@@ -83,6 +83,7 @@
          .worker_region = region,
          .incarnation = worker.incarnation(),
          .requests_per_s = service->second.cold_requests_per_s,
+         .cold_since = worker.cold_known_since(),
          .was_loaded = worker.became_cold()},
         senders(now),
         now);
--- a/tests/decision/steering/cold_worker_limiter_test.cpp
+++ b/tests/decision/steering/cold_worker_limiter_test.cpp
@@ -45,6 +45,9 @@
     duration settled_at{};
     // It got its usual requests until it became cold.
     bool was_loaded{};
+    // Begin of the cold time that the worker is in.
+    std::function<duration(duration)> cold_since{[](duration)
+                                                 { return duration{}; }};
     // The worker is cold, and gets requests, in these times.
     std::function<bool(duration)> cold{[](duration) { return true; }};
 };
@@ -101,6 +104,7 @@
                                       .worker_region = worker_region,
                                       .incarnation = incarnation,
                                       .requests_per_s = what.rate,
+                                      .cold_since = begin + what.cold_since(at),
                                       .was_loaded = what.was_loaded},
                                      {.self = name,
                                       .daemons = known[i],
@@ -263,6 +267,7 @@
             [](std::size_t, std::size_t, duration) -> std::optional<duration>
         { return duration{9s}; };
         what.cold = [](duration at) { return at < 3s || at > 27s; };
+        what.cold_since = [](duration at) { return at < 3s ? 0s : 27s; };
         check_bound(what);
     }
 }
@@ -306,6 +311,30 @@
     }
 }
 
+// A daemon of a large fleet has a request for the worker now and then only.
+BOOST_AUTO_TEST_CASE(a_sender_with_few_requests_sends_them)
+{
+    cold_worker_limiter limiter{1};
+    const std::vector<known_member> alone{{name_of(0), worker_region, {}}};
+    int sent = 0;
+    for (auto at = 3s; at < 30s; at += 3s)
+    {
+        sent += limiter.try_acquire(
+                    {.worker_id = worker_id,
+                     .worker_region = worker_region,
+                     .incarnation = incarnation,
+                     .requests_per_s = 3.3,
+                     .cold_since = begin},
+                    {.self = alone.front().name,
+                     .daemons = alone,
+                     .may_send = true},
+                    begin + at)
+                    ? 1
+                    : 0;
+    }
+    BOOST_TEST(sent == 9);
+}
+
 BOOST_AUTO_TEST_CASE(no_rate_means_no_requests)
 {
     BOOST_TEST(play({.daemons = 1, .rate = 0}).empty());
