Front: a daemon that hears of nobody doesn't ask every worker

What workers could see: health checks are bounded by two askers a worker only while daemons agree on who lives. One that hears of no other asked all workers: 195 such daemons and 990 workers, 975 checks a second at each. And a daemon with no worker to ask chose anew each 20 ms.

Change: a daemon asks at most three times its even part of the workers, by the largest fleet that it has seen, and four more; those of its own order.

--- a/packages/decision/steering/cold_news.hpp
+++ b/packages/decision/steering/cold_news.hpp
@@ -21,7 +21,8 @@
     static constexpr base::duration repeat_interval{
         std::chrono::milliseconds{1'000}};
 
-    // The worker of this incarnation digest is cold: the newest word on it.
+    // The worker of this incarnation digest is cold. Replaces what was
+    // recorded before.
     void record(std::uint64_t worker, const cold_statement& said);
 
     // Returns what is to be told now.
--- a/packages/decision/steering/cold_time.hpp
+++ b/packages/decision/steering/cold_time.hpp
@@ -19,7 +19,7 @@
     evacuation,
     // Another daemon, which read it in an answer.
     peer,
-    // Nobody can tell, and other workers of its zone have become cold.
+    // Other workers of its zone have become cold, and it hasn't answered since.
     assumed,
 };
 
--- a/packages/decision/steering/health_askers.cpp
+++ b/packages/decision/steering/health_askers.cpp
@@ -46,4 +46,35 @@
     return static_cast<std::size_t>(nearer) < askers_per_worker;
 }
 
+std::vector<std::size_t> choose_asked_workers(
+    std::span<const worker_place> workers,
+    const fleet_member& self,
+    std::span<const fleet_member> daemons,
+    std::size_t largest_fleet)
+{
+    std::vector<std::size_t> asked;
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        if (asks_for_health(workers[i], self, daemons))
+        {
+            asked.push_back(i);
+        }
+    }
+    const auto fleet = std::max<std::size_t>(largest_fleet, 1);
+    const auto most =
+        max_asked_factor * askers_per_worker * workers.size() / fleet +
+        min_asked;
+    if (asked.size() > most)
+    {
+        // Others that are alone keep other ones.
+        std::ranges::sort(
+            asked,
+            {},
+            [&](std::size_t one)
+            { return hash_rank(workers[one].id, self.name); });
+        asked.resize(most);
+    }
+    return asked;
+}
+
 } // namespace waxwingvalve::decision::steering
--- a/packages/decision/steering/health_askers.hpp
+++ b/packages/decision/steering/health_askers.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <span>
 #include <string_view>
+#include <vector>
 
 #include "decision/steering/fleet_members.hpp"
 
@@ -34,4 +35,18 @@
     const fleet_member& self,
     std::span<const fleet_member> daemons);
 
+// A daemon asks at most this multiple of its even part of the workers, among as
+// many daemons as it has ever seen live together, and `min_asked` more. Without
+// a bound, daemons that hear of nobody would each ask every worker.
+inline constexpr std::size_t max_asked_factor = 3;
+inline constexpr std::size_t min_asked = 4;
+
+// Returns the indices of the workers that `self` asks. `largest_fleet` is the
+// number of daemons that were live together at most, including `self`.
+std::vector<std::size_t> choose_asked_workers(
+    std::span<const worker_place> workers,
+    const fleet_member& self,
+    std::span<const fleet_member> daemons,
+    std::size_t largest_fleet);
+
 } // namespace waxwingvalve::decision::steering
--- a/packages/front/fleet_cold_workers.cpp
+++ b/packages/front/fleet_cold_workers.cpp
@@ -97,8 +97,7 @@
     {
         return;
     }
-    // Another daemon's word can't keep a worker cold for longer than workers
-    // are.
+    // Limited, since a malformed message may name any time.
     const auto longest =
         configuration_.services.at(worker->entry().service).cold_time;
     const auto left =
--- a/packages/front/worker_health.cpp
+++ b/packages/front/worker_health.cpp
@@ -1,6 +1,7 @@
 #include "front/worker_health.hpp"
 
 #include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -64,42 +65,59 @@
 
 void worker_health::choose_workers(base::instant now)
 {
-    if (!workers_.empty() && now - chosen_at_ < choice_lifetime)
+    if (now - chosen_at_ < choice_lifetime)
     {
         return;
     }
     chosen_at_ = now;
-    auto before = std::exchange(workers_, {});
     const auto& view = context_.view;
-    const auto daemons = view.members.live(now);
+    std::vector<fleet_view::worker_ptr> eligible;
+    std::vector<std::string> regions;
     for (const auto& [id, worker] : view.workers().all())
     {
-        const auto region = view.region_of(worker->entry().zone);
-        const bool asked =
-            view.may_be_cold(*worker) &&
-            steering::asks_for_health(
-                {.id = id, .zone = worker->entry().zone, .region = region},
-                view.members.self(),
-                daemons);
-        if (!asked)
-        {
-            continue;
-        }
-        auto known = before.extract(id);
-        const bool same = known && known.mapped().worker == worker;
-        workers_.emplace(
-            id, same ? std::move(known.mapped()) : asked_worker{worker});
-        if (known && !same)
+        if (view.may_be_cold(*worker))
         {
-            abandon_check(known.mapped());
+            eligible.push_back(worker);
+            regions.push_back(view.region_of(worker->entry().zone));
         }
     }
+    std::vector<steering::worker_place> places;
+    for (std::size_t i = 0; i < eligible.size(); ++i)
+    {
+        const auto& entry = eligible[i]->entry();
+        places.push_back(
+            {.id = entry.id, .zone = entry.zone, .region = regions[i]});
+    }
+    const auto chosen = steering::choose_asked_workers(
+        places,
+        view.members.self(),
+        view.members.live(now),
+        view.members.peak_live_count());
+    auto before = std::exchange(workers_, {});
+    for (const auto i : chosen)
+    {
+        keep_asking(eligible[i], before);
+    }
     for (auto& [id, asked] : before)
     {
         abandon_check(asked);
     }
 }
 
+// Goes on with the worker as before, if it was asked.
+void worker_health::keep_asking(
+    const fleet_view::worker_ptr& worker, asked_workers& before)
+{
+    const auto& id = worker->entry().id;
+    const auto known = before.find(id);
+    if (known == before.end() || known->second.worker != worker)
+    {
+        workers_.emplace(id, asked_worker{worker});
+        return;
+    }
+    workers_.insert(before.extract(known));
+}
+
 void worker_health::check(asked_worker& asked, base::instant now)
 {
     if (asked.connection && now - asked.sent_at >= check_timeout)
@@ -223,6 +241,7 @@
         pool_.close_worker_connections(id);
     }
     workers_.clear();
+    chosen_at_ = {};
 }
 
 } // namespace waxwingvalve::front
--- a/packages/front/worker_health.hpp
+++ b/packages/front/worker_health.hpp
@@ -57,10 +57,14 @@
         base::instant answered{};
     };
 
+    using asked_workers = std::map<std::string, asked_worker>;
+
     void schedule(std::chrono::milliseconds wait);
     // Returns the time until the next step.
     std::chrono::milliseconds step();
     void choose_workers(base::instant now);
+    void keep_asking(
+        const fleet_view::worker_ptr& worker, asked_workers& before);
     void check(asked_worker& asked, base::instant now);
     void send_check(
         asked_worker& asked, const std::string& health_path, base::instant now);
@@ -77,7 +81,7 @@
     boost::asio::steady_timer timer_;
     std::uint32_t step_{0};
     // By their ids.
-    std::map<std::string, asked_worker> workers_;
+    asked_workers workers_;
     base::instant chosen_at_{};
     steering::cold_news news_;
 };
--- a/tests/decision/steering/health_askers_test.cpp
+++ b/tests/decision/steering/health_askers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,10 @@
 
 using waxwingvalve::decision::steering::askers_per_worker;
 using waxwingvalve::decision::steering::asks_for_health;
+using waxwingvalve::decision::steering::choose_asked_workers;
 using waxwingvalve::decision::steering::fleet_member;
+using waxwingvalve::decision::steering::max_asked_factor;
+using waxwingvalve::decision::steering::min_asked;
 using waxwingvalve::decision::steering::worker_place;
 
 constexpr int zone_count = 6;
@@ -127,4 +131,60 @@
     BOOST_TEST(static_cast<std::size_t>(staying) == askers_per_worker);
 }
 
+// Every daemon hears of itself alone, and each would ask every worker: 195 of
+// them 975 times a second.
+BOOST_AUTO_TEST_CASE(daemons_that_hear_nobody_ask_a_bounded_part)
+{
+    constexpr std::size_t worker_count = 990;
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < worker_count; ++i)
+    {
+        ids.push_back(fmt::format("worker-{}", i));
+    }
+    std::vector<worker_place> workers;
+    for (const auto& id : ids)
+    {
+        workers.push_back({id, "zone-1", "region-1"});
+    }
+    for (const int count : {11, 72, 195})
+    {
+        const auto daemons = make_daemons(count);
+        const auto fleet = daemons.size();
+        std::vector<std::size_t> askers(worker_count);
+        for (const auto& self : daemons)
+        {
+            const std::vector<fleet_member> alone{self};
+            const auto asked =
+                choose_asked_workers(workers, self, alone, fleet);
+            BOOST_TEST(
+                asked.size() <=
+                max_asked_factor * askers_per_worker * worker_count / fleet +
+                    min_asked);
+            for (const auto one : asked)
+            {
+                ++askers[one];
+            }
+        }
+        const auto sum =
+            std::accumulate(askers.begin(), askers.end(), std::size_t{});
+        BOOST_TEST(
+            sum <= max_asked_factor * askers_per_worker * worker_count +
+                       min_asked * fleet);
+        // They ask different ones: most workers are asked by somebody.
+        const auto unasked = std::ranges::count(askers, std::size_t{0});
+        BOOST_TEST(unasked < static_cast<long>(worker_count / 50));
+    }
+}
+
+// A daemon that has never seen another asks all.
+BOOST_AUTO_TEST_CASE(a_single_daemon_asks_every_worker)
+{
+    const auto daemons = make_daemons(1);
+    const std::vector<worker_place> workers(
+        50, worker_place{"worker", "zone-1", "region-1"});
+    BOOST_TEST(
+        choose_asked_workers(workers, daemons.front(), daemons, 1).size() ==
+        50U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
