Tests: the bounds of the cold worker tests are as strict as before

It had asked for three requests in some second as well, and for one in the last second of a starting fleet.

--- a/tests/decision/steering/cold_worker_limiter_test.cpp
+++ b/tests/decision/steering/cold_worker_limiter_test.cpp
@@ -149,6 +149,8 @@
     {.daemons = 11, .rate = 7.2},
     {.daemons = 11, .rate = 4.2},
     {.daemons = 30, .rate = 4.0},
+    {.daemons = 72, .rate = 4.2},
+    {.daemons = 72, .rate = 3.3, .slack = 8},
     {.daemons = 72, .rate = 4.0, .slack = 8},
     {.daemons = 72, .rate = 7.2, .slack = 8},
     {.daemons = 195, .rate = 3.3, .slack = 10}};
@@ -179,6 +181,7 @@
         const std::chrono::duration<double> span{what.length};
         BOOST_TEST(
             static_cast<double>(sent.size()) >= 0.5 * what.rate * span.count());
+        BOOST_TEST(most_in_a_second(sent) >= 3);
     }
 }
 
@@ -297,7 +300,9 @@
             return duration{};
         };
         check_bound(what);
-        BOOST_TEST(!play(what).empty());
+        const auto sent = play(what);
+        BOOST_REQUIRE(!sent.empty());
+        BOOST_TEST((sent.back() >= begin + what.length - 1s));
     }
 }
 
