--- a/tests/decision/steering/health_askers_test.cpp
+++ b/tests/decision/steering/health_askers_test.cpp
@@ -137,11 +137,13 @@
 {
     constexpr std::size_t worker_count = 990;
     std::vector<std::string> ids;
+    ids.reserve(worker_count);
     for (std::size_t i = 0; i < worker_count; ++i)
     {
         ids.push_back(fmt::format("worker-{}", i));
     }
     std::vector<worker_place> workers;
+    workers.reserve(worker_count);
     for (const auto& id : ids)
     {
         workers.push_back({id, "zone-1", "region-1"});
