Steering: a time without a limit on shifts takes no credit

Cause: set the credit of all regions to 0 at each request for which there was no limit, and kept a tenth of the recent requests however few they were. A daemon with few requests then had no credit for a region that it uses little, or no limit at all until 10 requests were counted again.

Change: follow() leaves the credit alone; forget() keeps min_requests.

--- a/packages/decision/steering/region_shift_limiter.cpp
+++ b/packages/decision/steering/region_shift_limiter.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-// With fewer recent requests the shares are not meaningful.
-constexpr double min_requests = 10;
 // Weight of the seeded shares in requests: enough that the first real requests
 // do not move them quickly.
 constexpr double seed_requests = 40;
@@ -76,10 +74,15 @@
 
 void region_shift_limiter::forget()
 {
-    requests_ *= kept_history;
+    if (requests_ <= min_requests)
+    {
+        return;
+    }
+    const double kept = std::max(min_requests / requests_, kept_history);
+    requests_ *= kept;
     for (auto& [region, recent] : regions_)
     {
-        recent.requests *= kept_history;
+        recent.requests *= kept;
     }
 }
 
@@ -92,10 +95,6 @@
     }
     requests_ += 1;
     regions_[region].requests += 1;
-    for (auto& [name, recent] : regions_)
-    {
-        recent.credit = 0;
-    }
 }
 
 double region_shift_limiter::credit_with_next(
--- a/packages/decision/steering/region_shift_limiter.hpp
+++ b/packages/decision/steering/region_shift_limiter.hpp
@@ -32,6 +32,8 @@
     static constexpr double max_credit = 1.5;
     // Part of the recent requests that still counts when the limit is lifted.
     static constexpr double kept_history = 0.1;
+    // With fewer recent requests the shares are not meaningful.
+    static constexpr double min_requests = 10;
     // Requests without a limit that are further apart belong to different
     // changes.
     static constexpr base::duration follow_gap{std::chrono::seconds{2}};
@@ -62,6 +64,7 @@
     };
 
     void decay(base::instant now);
+    // Keeps no more of the recent requests than are needed.
     void forget();
     // Returns the share that the region may have now.
     double allowed_share(const region_count& one, double step) const;
--- a/tests/decision/steering/region_shift_limiter_test.cpp
+++ b/tests/decision/steering/region_shift_limiter_test.cpp
@@ -124,4 +124,32 @@
     BOOST_TEST(limiter.allows("harar", step, instant{1h}));
 }
 
+// A daemon that sends little to a region would never have the credit to use it
+// after each change of capacity.
+BOOST_AUTO_TEST_CASE(credit_is_kept_while_there_is_no_limit)
+{
+    region_shift_limiter limiter;
+    const instant begin{1h};
+    for (int i = 0; i < 400; ++i)
+    {
+        limiter.allows("harar", step, begin + i * 5ms);
+        limiter.count("addis", step, begin + i * 5ms);
+    }
+    limiter.follow("addis", begin + 2s);
+    BOOST_TEST(limiter.allows("harar", step, begin + 2s));
+}
+
+// The limit would not hold again before enough requests have been counted.
+BOOST_AUTO_TEST_CASE(few_recent_requests_are_not_forgotten)
+{
+    region_shift_limiter limiter;
+    const instant begin{1h};
+    for (int i = 0; i < 12; ++i)
+    {
+        limiter.count("addis", step, begin + i * 50ms);
+    }
+    limiter.follow("addis", begin + 600ms);
+    BOOST_TEST(!limiter.allows("harar", step, begin + 600ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
