--- a/tests/front/shifting_fleet.hpp
+++ b/tests/front/shifting_fleet.hpp
@@ -36,11 +36,18 @@
         {
             add_daemon(i);
         }
+        add_service("desk");
+    }
+
+    // From now on requests are for this service as often as for each other.
+    void add_service(const std::string& service)
+    {
+        services_.push_back(service);
         for (const auto* zone : {"isan-a", "lanna-a", "plain-a"})
         {
             for (int i = 0; i < workers_per_zone; ++i)
             {
-                put_worker(zone, i);
+                put_worker(service, zone, i);
             }
         }
     }
@@ -71,11 +78,12 @@
         }
     }
 
-    void put_worker(const std::string& zone, int number)
+    void put_worker(
+        const std::string& service, const std::string& zone, int number)
     {
         decision::steering::worker_entry entry;
-        entry.id = fmt::format("{}-{}", zone, number);
-        entry.service = "desk";
+        entry.id = worker_id(service, zone, number);
+        entry.service = service;
         entry.address = {"10.0.0.1", 80};
         entry.zone = zone;
         entry.slots = 100;
@@ -91,14 +99,14 @@
         load_of_[zone] = running;
     }
 
-    // The last `count` workers of the zone leave.
+    // The last `count` workers of the service "desk" in the zone leave.
     void remove_workers(const std::string& zone, int count)
     {
         for (int i = workers_per_zone - count; i < workers_per_zone; ++i)
         {
             for (auto& view : views_)
             {
-                view->remove_worker(fmt::format("{}-{}", zone, i), now_);
+                view->remove_worker(worker_id("desk", zone, i), now_);
             }
         }
     }
@@ -164,13 +172,18 @@
         return largest;
     }
 
-    double share(const std::string& region, base::instant from) const
+    // Of the requests of all services, or of one.
+    double share(
+        const std::string& region,
+        base::instant from,
+        const std::string& service = {}) const
     {
         double there = 0;
         double all = 0;
         for (const auto& one : placed_)
         {
-            if (one.at >= from && one.at < from + window)
+            const bool counts = service.empty() || one.service == service;
+            if (counts && one.at >= from && one.at < from + window)
             {
                 all += 1;
                 there += one.region == region ? 1 : 0;
@@ -184,8 +197,15 @@
     {
         base::instant at{};
         std::string region{};
+        std::string service{};
     };
 
+    static std::string worker_id(
+        const std::string& service, const std::string& zone, int number)
+    {
+        return fmt::format("{}-{}-{}", service, zone, number);
+    }
+
     static constexpr std::chrono::milliseconds step{10};
     static constexpr std::chrono::milliseconds round_interval{500};
     static constexpr base::instant begin{std::chrono::hours{1}};
@@ -227,17 +247,19 @@
         const auto& route = view.configuration().routes.front();
         view.begin_request(route, now_);
         const auto& object = objects_[random_() % objects_.size()];
-        const auto worker = view.place({&route, "desk", object}, now_);
+        const auto& service = services_[random_() % services_.size()];
+        const auto worker = view.place({&route, service, object}, now_);
         if (worker)
         {
             placed_.push_back(
-                {now_, view.region_of(worker.value()->entry().zone)});
+                {now_, view.region_of(worker.value()->entry().zone), service});
             worker.value()->request_ended();
         }
     }
 
     std::vector<std::unique_ptr<front::fleet_view>> views_;
     std::map<std::string, std::uint32_t> load_of_;
+    std::vector<std::string> services_;
     std::vector<std::string> objects_;
     std::mt19937_64 random_{1};
     base::instant now_{begin};
