Front: what a health answer says is recorded in a step of its own

worker_health::end_check judged the answer and recorded it. No change of behaviour; front_test and cold_workers_test pass.

--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -85,8 +85,8 @@
     std::uint64_t seed)
     : members{std::move(self), seed}, crash_gossip{seed + 1}, options_{options},
       region_of_zone_{std::move(region_of_zone)}, split_picker_{seed + 2},
-      cold_worker_limiter_{seed + 5}, rate_limits_{seed + 3}, rate_limit_pacer_{
-                                                                  seed + 4}
+      cold_worker_limiter_{seed + 5}, rate_limits_{seed + 3},
+      rate_limit_pacer_(seed + 4)
 {
 }
 
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -223,7 +223,7 @@
         const steering::worker& worker, bool just_sent, base::instant now);
     void pace_workers(base::instant now);
     std::uint64_t digest_of_pace_input(base::instant now) const;
-    fleet_view::worker_ptr find_incarnation(std::uint64_t digest) const;
+    worker_ptr find_incarnation(std::uint64_t digest) const;
     // Workers of the service that could serve it but for their rate limits.
     struct rate_limited_workers
     {
--- a/packages/front/worker_health.cpp
+++ b/packages/front/worker_health.cpp
@@ -182,6 +182,12 @@
     }
     ++context_.counts.health_answers;
     asked.answered = asked.sent_at;
+    record_answer(asked, fields);
+}
+
+void worker_health::record_answer(
+    const asked_worker& asked, std::span<const net::header_field> fields)
+{
     const auto now = base::monotonic_clock::now();
     record_worker_state(
         context_,
--- a/packages/front/worker_health.hpp
+++ b/packages/front/worker_health.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -69,6 +70,9 @@
     void send_check(
         asked_worker& asked, const std::string& health_path, base::instant now);
     void end_check(const std::string& id, const exchange_outcome& outcome);
+    // Records what the worker says of itself, and what the others are told.
+    void record_answer(
+        const asked_worker& asked, std::span<const net::header_field> fields);
     void assume_cold(const asked_worker& asked, base::instant now);
     void abandon_check(asked_worker& asked);
     void stop_asking();
