--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -252,9 +252,6 @@
         double failure_share{0};
         // Without shares until the first request.
         steering::region_plan plan{};
-        // Of the service's own requests: those of another service don't move
-        // with them.
-        steering::region_shift_limiter shift_limiter{};
         steering::return_schedule return_schedule{};
     };
     service_state& state_of(std::string_view service);
@@ -288,7 +285,7 @@
         steering::worker& worker,
         const placement_request& request,
         std::string_view region,
-        service_state& service,
+        const steering::region_plan& plan,
         base::instant now);
     void update_request_rate(base::instant now);
     // The pointers are valid until the list of workers changes.
@@ -316,6 +313,7 @@
     steering::split_picker split_picker_;
     steering::cold_zones cold_zones_;
     steering::cold_worker_limiter cold_worker_limiter_;
+    steering::region_shift_limiter region_shift_limiter_;
     steering::rate_limit_table rate_limits_;
     steering::rate_limit_pacer rate_limit_pacer_;
     std::map<std::string, service_state, std::less<>> services_;
