Tests: a daemon that owns no worker may refuse before the frozen case begins

Cause: the case sends one request to the daemon that owns fewer workers and counts its run, without looking at the answer. With six workers and two daemons it owns none in some runs, and refuses (503, 4001, not run) until it has heard of the other's room; a_planned_stop_hands_over waits for that already.

Change: the case waits, 2 s at most, for an answer with 200 before it goes on; answers before must be honest refusals (served()). The check of the run stays. It requires more than before: an answer of any status was enough.

--- a/tests/end_to_end/ownership_test.cpp
+++ b/tests/end_to_end/ownership_test.cpp
@@ -177,7 +177,9 @@
 {
     const auto kept = owned(second());
     const auto before = runs();
-    BOOST_REQUIRE(look_up(second()).has_value());
+    // It may own no worker, and refuses until it has heard of the other's room.
+    BOOST_REQUIRE(
+        harness::wait_until([&] { return served(second()); }, seconds{2}));
     cluster.daemon(first().name).freeze();
     // Longer than any timeout of membership, shorter than the tenure.
     const auto moved = harness::wait_until(
