Front: requests in flight end with their event loop

Cause: two cycles of ownership. A request held its connection, whose handler holds the request; and a session's entry held the request, whose responder held the entry. Both were cut by the answer only, so that whatever was in flight when the event loop ended was leaked.

Change: the request observes its connection (weak_ptr), which its pending reads and writes own; the responder observes the session's entry. Callers saw nothing: at the end of a daemon each request is answered before.

--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -271,11 +271,15 @@
         }
         pending->started = true;
         pending->flow->start(
-            [weak = weak_from_this(), pending](net::http_response answer)
+            [session = weak_from_this(),
+             request = std::weak_ptr{pending}](net::http_response answer)
             {
-                pending->answer = std::move(answer);
-                pending->answer_bytes.resize(pending->answer->body.size());
-                if (const auto self = weak.lock())
+                if (const auto answered = request.lock())
+                {
+                    answered->answer_bytes.resize(answer.body.size());
+                    answered->answer = std::move(answer);
+                }
+                if (const auto self = session.lock())
                 {
                     asio::post(
                         self->socket_.get_executor(),
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -230,9 +230,10 @@
     tried_workers_.push_back(entry.id);
     worker_region_ = context_.view.region_of(entry.zone);
     attempt_started_at_ = base::monotonic_clock::now();
-    connection_ = context_.pool.acquire(
+    const auto connection = context_.pool.acquire(
         entry.id, entry.address, !route_->idempotent, attempt_started_at_);
-    connection_->exchange(
+    connection_ = connection;
+    connection->exchange(
         {.head = serialize_head(*worker),
          .body = body_,
          .id_field = context_.fields.attempt_id,
@@ -320,7 +321,7 @@
     {
         return;
     }
-    if (connection_)
+    if (const auto connection = connection_.lock())
     {
         execution_ = execution_state::unknown;
         if (worker_)
@@ -333,7 +334,7 @@
             context_.stop.record_answer(
                 route_->name, now - attempt_started_at_, now);
         }
-        connection_->abandon();
+        connection->abandon();
         connection_.reset();
     }
     release_worker();
@@ -394,15 +395,16 @@
         return;
     }
     ++context_.counts.callers_gone;
-    if (connection_ && !route_->idempotent)
+    const auto connection = connection_.lock();
+    if (connection && !route_->idempotent)
     {
         return;
     }
     done_ = true;
     timer_.cancel();
-    if (connection_)
+    if (connection)
     {
-        connection_->abandon();
+        connection->abandon();
         connection_.reset();
     }
     release_worker();
@@ -415,10 +417,10 @@
     {
         return;
     }
-    if (connection_)
+    if (const auto connection = connection_.lock())
     {
         execution_ = execution_state::unknown;
-        connection_->abandon();
+        connection->abandon();
         connection_.reset();
     }
     release_worker();
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -118,7 +118,10 @@
     base::instant attempt_started_at_{};
     boost::asio::steady_timer timer_;
     responder respond_;
-    std::shared_ptr<upstream_connection> connection_;
+    // That of the attempt in flight. It owns this request through its handler,
+    // and its pending reads and writes own it: owned from here as well, both
+    // would outlive the event loop.
+    std::weak_ptr<upstream_connection> connection_;
     fleet_view::worker_ptr worker_;
     // Incarnation that the newest attempt was sent to.
     std::uint64_t worker_incarnation_{};
