--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "harness/loopback.hpp"
+
 namespace waxwingvalve::soak
 {
 
@@ -21,33 +23,37 @@
 
 constexpr std::string_view target_field = "X-Waxwingvalve-Target-Instance";
 constexpr int caller_port = 18'161;
+constexpr int control_port = caller_port + 3;
 
 base::endpoint address_of(const tcp::acceptor& acceptor)
 {
     return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
+std::string address_of(int daemon, int port)
+{
+    return fmt::format("{}:{}", tests::own_host(daemon), port);
+}
+
 std::string settings_of(int number, const base::endpoint& store)
 {
-    const auto at = [number](int port)
-    { return fmt::format("127.0.1.{}:{}", number + 1, port); };
     return fmt::format(
         R"({{"schema_version": 1, "name": "entry-{}", "region": "addis",
 "zone": "addis-a", "caller_address": "{}", "readiness_address": "{}",
 "lookup_address": "{}", "control_address": "{}", "peer_port": {},
-"seeds": ["127.0.1.1:{}", "127.0.1.2:{}"],
+"seeds": ["{}", "{}"],
 "zones": [{{"zone": "addis-a", "region": "addis"}}],
 "store_address": "{}", "lookup_lifetime": "1s", "stop_time": "4s",
 "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 100,
 "log_level": "info"}})",
         number,
-        at(caller_port),
-        at(caller_port + 1),
-        at(caller_port + 2),
-        at(caller_port + 3),
+        address_of(number, caller_port),
+        address_of(number, caller_port + 1),
+        address_of(number, caller_port + 2),
+        address_of(number, control_port),
         caller_port + 4,
-        caller_port + 3,
-        caller_port + 3,
+        address_of(0, control_port),
+        address_of(1, control_port),
         to_string(store));
 }
 
@@ -291,7 +297,7 @@
 
 base::endpoint soak_daemon::callers() const
 {
-    return {fmt::format("127.0.1.{}", number_ + 1), caller_port};
+    return {tests::own_host(number_), caller_port};
 }
 
 } // namespace waxwingvalve::soak
