--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -1,5 +1,5 @@
-// What a request does with the end of an attempt: a worker's answer, a refusal,
-// or an answer that never came whole.
+// What a request does with the end of an attempt (a worker's answer, a refusal,
+// or an answer that never came whole), and what its caller is answered.
 #include <utility>
 
 #include "base/log.hpp"
@@ -212,4 +212,81 @@
     retry_or_refuse({result_code::answer_lost}, true);
 }
 
+void request_flow::refuse(const base::error& reason)
+{
+    refusal_reason_ = reason;
+    const bool not_run = execution_ == execution_state::not_run;
+    auto answer = net::make_refusal(
+        reason, not_run ? net::outcome::not_run : net::outcome::unknown);
+    // Status 503 tells the caller that the request did not run, so it must not
+    // be sent when the outcome is unknown.
+    const bool implies_not_run = answer.status == status_unavailable;
+    if (reason.code == result_code::request_poisonous ||
+        (!not_run && implies_not_run))
+    {
+        answer.status = status_bad_gateway;
+    }
+    if (not_run && answer.status >= status_server_error)
+    {
+        set_retry_after(
+            answer,
+            attempt_id_,
+            context_.view.return_after(service_, base::monotonic_clock::now()));
+    }
+    finish(std::move(answer), not_run ? "not_run" : "unknown");
+}
+
+void request_flow::finish(net::http_response answer, std::string_view end)
+{
+    if (done_)
+    {
+        return;
+    }
+    done_ = true;
+    timer_.cancel();
+    ++context_.counts.ends[std::string{end}];
+    context_.counts.answer_latency.add(
+        base::monotonic_clock::now() - received_at_);
+    log_end(end, answer.status);
+    if (!caller_gone_ && respond_)
+    {
+        respond_(std::move(answer));
+    }
+    respond_ = nullptr;
+}
+
+void request_flow::log_end(std::string_view end, unsigned status) const
+{
+    base::log_event(
+        log_level::info,
+        log_channel::serving,
+        "request_ended",
+        "request",
+        attempt_id_,
+        "route",
+        route_ ? route_->name : std::string{},
+        "service",
+        service_,
+        "object",
+        object_,
+        "worker",
+        tried_workers_.empty() ? std::string{} : tried_workers_.back(),
+        "worker_region",
+        worker_region_,
+        "sends",
+        sends_,
+        "end",
+        end,
+        "status",
+        status,
+        "reason",
+        refusal_reason_ ? to_string(*refusal_reason_) : std::string{},
+        "took_ms",
+        base::to_milliseconds(base::monotonic_clock::now() - received_at_),
+        "configuration",
+        configuration_version_,
+        "homes_of",
+        homes_version_);
+}
+
 } // namespace waxwingvalve::front
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -1,5 +1,5 @@
-// Request handling: admission, attempts, retries and refusals. What follows
-// from the end of an attempt is in request_answers.cpp.
+// Request handling: admission, attempts and retries. What follows from the end
+// of an attempt, and answers to callers, are in request_answers.cpp.
 #include "front/request_flow.hpp"
 
 #include <algorithm>
@@ -10,9 +10,7 @@
 
 #include "base/log.hpp"
 #include "decision/retries/request_digest.hpp"
-#include "front/http_status.hpp"
 #include "front/request_fields.hpp"
-#include "front/retry_after.hpp"
 
 namespace waxwingvalve::front
 {
@@ -343,49 +341,6 @@
                                                 : result_code::queue_timeout});
 }
 
-void request_flow::refuse(const base::error& reason)
-{
-    refusal_reason_ = reason;
-    const bool not_run = execution_ == execution_state::not_run;
-    auto answer = net::make_refusal(
-        reason, not_run ? net::outcome::not_run : net::outcome::unknown);
-    // Status 503 tells the caller that the request did not run, so it must not
-    // be sent when the outcome is unknown.
-    const bool implies_not_run = answer.status == status_unavailable;
-    if (reason.code == result_code::request_poisonous ||
-        (!not_run && implies_not_run))
-    {
-        answer.status = status_bad_gateway;
-    }
-    if (not_run && answer.status >= status_server_error)
-    {
-        set_retry_after(
-            answer,
-            attempt_id_,
-            context_.view.return_after(service_, base::monotonic_clock::now()));
-    }
-    finish(std::move(answer), not_run ? "not_run" : "unknown");
-}
-
-void request_flow::finish(net::http_response answer, std::string_view end)
-{
-    if (done_)
-    {
-        return;
-    }
-    done_ = true;
-    timer_.cancel();
-    ++context_.counts.ends[std::string{end}];
-    context_.counts.answer_latency.add(
-        base::monotonic_clock::now() - received_at_);
-    log_end(end, answer.status);
-    if (!caller_gone_ && respond_)
-    {
-        respond_(std::move(answer));
-    }
-    respond_ = nullptr;
-}
-
 void request_flow::abandon()
 {
     caller_gone_ = true;
@@ -427,38 +382,4 @@
     refuse({result_code::leaving});
 }
 
-void request_flow::log_end(std::string_view end, unsigned status) const
-{
-    base::log_event(
-        log_level::info,
-        log_channel::serving,
-        "request_ended",
-        "request",
-        attempt_id_,
-        "route",
-        route_ ? route_->name : std::string{},
-        "service",
-        service_,
-        "object",
-        object_,
-        "worker",
-        tried_workers_.empty() ? std::string{} : tried_workers_.back(),
-        "worker_region",
-        worker_region_,
-        "sends",
-        sends_,
-        "end",
-        end,
-        "status",
-        status,
-        "reason",
-        refusal_reason_ ? to_string(*refusal_reason_) : std::string{},
-        "took_ms",
-        base::to_milliseconds(base::monotonic_clock::now() - received_at_),
-        "configuration",
-        configuration_version_,
-        "homes_of",
-        homes_version_);
-}
-
 } // namespace waxwingvalve::front
