Tests: a flood of signals that prolongs a stop shows the daemon's log

daemon_stop_test failed once in the address build without a log, so that a daemon that doesn't stop and one that hangs while it is torn down can't be told apart.

--- a/tests/platform/daemon_stop_test.cpp
+++ b/tests/platform/daemon_stop_test.cpp
@@ -2,6 +2,7 @@
 // and new ones at every moment of its stop time.
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <map>
 #include <memory>
@@ -45,6 +46,13 @@
     R"("target_latency":"300ms","priority":2,"service":"desk",)"
     R"("max_attempts":2}}]})"};
 
+// Tells what a daemon that should have ended was doing.
+std::string end_of(const std::string& log)
+{
+    constexpr std::size_t shown_bytes = 800;
+    return log.substr(log.size() - std::min(log.size(), shown_bytes));
+}
+
 // What became of one request.
 struct sent_request
 {
@@ -270,7 +278,11 @@
         loop.restart();
         loop.poll();
     }
-    BOOST_TEST(!daemon.running());
+    const bool ended = !daemon.running();
+    BOOST_TEST_CONTEXT("the daemon's log ends with " << end_of(daemon.log()))
+    {
+        BOOST_TEST(ended);
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
