Soak: a process that ends by itself is told, and SIGHUP waits for one that reads it

Cause: SIGHUP came right after the start, while the program was still being loaded. So the case is one of the soak, which sends the signal sooner than an operator can: it sends SIGHUP once the process blocks it, by /proc/PID/status. Starts and the time from main on are disturbed as before.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -68,6 +68,7 @@
     void check_refusals();
     void check_recovery();
     void check_drain();
+    void check_processes();
     int draw(int least, int most)
     {
         return std::uniform_int_distribution<int>{least, most}(random_);
@@ -238,7 +239,10 @@
             [&daemon] { daemon.send(SIGCONT); });
         break;
     case 3:
-        daemon.send(SIGHUP);
+        if (daemon.reads_signals())
+        {
+            daemon.send(SIGHUP);
+        }
         break;
     case 4:
         store_.disturb();
@@ -295,6 +299,19 @@
     }
 }
 
+// No process ends by itself.
+void soak_run::check_processes()
+{
+    for (auto& one : daemons_)
+    {
+        if (const auto end = one->own_end())
+        {
+            seen_.broken.push_back(fmt::format(
+                "entry-{} ended by itself with {}", one->number(), *end));
+        }
+    }
+}
+
 void soak_run::check_recovery()
 {
     const auto from = base::monotonic_clock::now();
@@ -355,6 +372,7 @@
     store_.write_next_configuration();
     check_recovery();
     check_drain();
+    check_processes();
     configurations_.finish();
     for (auto& one : callers_)
     {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -259,6 +259,7 @@
 void soak_daemon::start()
 {
     ++starts_;
+    told_to_end_ = false;
     disturbed_at_ = base::monotonic_clock::now();
     namespace bp = boost::process;
     const auto log = folder_ / fmt::format("entry-{}.log", number_);
@@ -283,6 +284,7 @@
         return;
     }
     ::kill(child_.id(), signal);
+    told_to_end_ = told_to_end_ || signal == SIGKILL || signal == SIGTERM;
     if (signal != SIGHUP)
     {
         disturbed_at_ = base::monotonic_clock::now();
@@ -295,6 +297,33 @@
     return child_.running(ignored);
 }
 
+bool soak_daemon::reads_signals()
+{
+    if (!running())
+    {
+        return false;
+    }
+    std::ifstream status{fmt::format("/proc/{}/status", child_.id())};
+    std::string name;
+    while (status >> name && name != "SigBlk:")
+    {
+    }
+    std::uint64_t blocked{};
+    status >> std::hex >> blocked;
+    return (blocked >> (SIGHUP - 1) & 1U) != 0;
+}
+
+std::optional<std::string> soak_daemon::own_end()
+{
+    if (told_to_end_ || running())
+    {
+        return std::nullopt;
+    }
+    const int status = child_.native_exit_code();
+    return WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status))
+                               : fmt::format("status {}", WEXITSTATUS(status));
+}
+
 base::endpoint soak_daemon::callers() const
 {
     return {tests::own_host(number_), caller_port};
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -131,6 +132,11 @@
     void start();
     void send(int signal);
     bool running();
+    // Whether the process has come to block the signals that it reads. Before
+    // that, while it is loaded, SIGHUP ends any process.
+    bool reads_signals();
+    // How a process that nobody told to end has ended, if it has.
+    std::optional<std::string> own_end();
     base::endpoint callers() const;
     int number() const { return number_; }
     // Counts the processes, so that two of them can be told apart.
@@ -144,6 +150,8 @@
 private:
     int number_;
     int starts_{0};
+    // The process was sent a signal that ends it.
+    bool told_to_end_{false};
     base::instant disturbed_at_{};
     std::filesystem::path folder_;
     std::filesystem::path program_;
