Tests, known red: bodies without end take the daemon over its memory

The daemon of as a process of 260 MB, with 24 callers: a supervisor kills it (137) at 273 to 275 MB within 301 to 319 requests where two of six workers spoil each tenth answer with a body until close, with chunks or with a refusal's body without end, and within 442 where callers upload 60 MB each, 16 at a time; every open request ends without an answer. Where the kernel bounds its address space it lives, but 1,273 of 3,870 requests end without an answer: each failed allocation ends a connection. Chunks of one byte take 67 MB and make 23 callers wait beyond their deadline. Sound answers pass.

--- /dev/null
+++ b/tests/platform/daemon_memory_test.cpp
@@ -0,0 +1,81 @@
+// Tests that what workers and callers send takes no more memory than the
+// process may use.
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+#include "platform/memory_scene.hpp"
+
+using namespace waxwingvalve::tests;
+using namespace std::chrono_literals;
+
+namespace waxwingvalve::tests
+{
+
+std::ostream& operator<<(std::ostream& out, endless_answer fault)
+{
+    switch (fault)
+    {
+    case endless_answer::none:
+        return out << "sound answers";
+    case endless_answer::body_until_close:
+        return out << "a body until close";
+    case endless_answer::chunks:
+        return out << "chunks";
+    case endless_answer::refusal:
+        return out << "a refusal's body";
+    case endless_answer::one_byte_chunks:
+        break;
+    }
+    return out << "chunks of one byte";
+}
+
+} // namespace waxwingvalve::tests
+
+BOOST_AUTO_TEST_SUITE(daemon_memory)
+
+// FAULT and LOST: workers whose answers never end took the daemon over its
+// memory, and all requests that it held ended with it.
+BOOST_DATA_TEST_CASE(
+    answers_without_end_leave_the_daemon_and_other_requests_alone,
+    boost::unit_test::data::make(
+        {endless_answer::none,
+         endless_answer::body_until_close,
+         endless_answer::chunks,
+         endless_answer::refusal,
+         endless_answer::one_byte_chunks}),
+    fault)
+{
+    memory_scene scene{
+        fault,
+        fault == endless_answer::none ? 0 : 2,
+        memory_scene::limited_by::supervisor};
+    scene.play(4s, 24, 0);
+    scene.check_promises();
+    scene.check_served();
+}
+
+// FAULT and LOST: the daemon took the machine's memory for its own where the
+// kernel grants the process less.
+BOOST_AUTO_TEST_CASE(a_limit_of_the_kernel_is_kept)
+{
+    memory_scene scene{
+        endless_answer::chunks, 2, memory_scene::limited_by::kernel};
+    scene.play(4s, 24, 8);
+    scene.check_promises();
+    scene.check_served();
+}
+
+// FAULT and LOST: uploads within the configuration's limit took the daemon over
+// its memory.
+BOOST_AUTO_TEST_CASE(large_uploads_leave_the_daemon_and_other_requests_alone)
+{
+    memory_scene scene{
+        endless_answer::none, 0, memory_scene::limited_by::supervisor};
+    scene.play(4s, 24, 16);
+    scene.check_promises();
+    scene.check_served();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/daemon_process.cpp
+++ b/tests/platform/daemon_process.cpp
@@ -1,5 +1,6 @@
 #include "platform/daemon_process.hpp"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/process/extend.hpp>
 #include <fmt/format.h>
 
 #include "harness/loopback.hpp"
@@ -27,6 +29,11 @@
 {
 
 constexpr std::chrono::milliseconds step{5};
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool limits_address_space = false;
+#else
+constexpr bool limits_address_space = true;
+#endif
 
 // Addresses of the daemon, and of the one before it as the seed.
 std::string settings_of(
@@ -102,7 +109,15 @@
         bp::args({"--settings", settings_path().string()}),
         bp::std_in<bp::null, bp::std_out> out,
         bp::std_err > out,
-        bp::limit_handles};
+        bp::limit_handles,
+        bp::extend::on_exec_setup = [limit = memory_limit_](auto&)
+        {
+            if (limit && limits_address_space)
+            {
+                const rlimit most{*limit, *limit};
+                ::setrlimit(RLIMIT_AS, &most);
+            }
+        }};
     if (out != nullptr)
     {
         static_cast<void>(std::fclose(out));
@@ -133,6 +148,15 @@
     return WIFSIGNALED(status) ? 128 + WTERMSIG(status) : WEXITSTATUS(status);
 }
 
+std::uint64_t daemon_process::resident_bytes() const
+{
+    std::ifstream sizes{fmt::format("/proc/{}/statm", child_.id())};
+    std::uint64_t all_pages{0};
+    std::uint64_t resident_pages{0};
+    sizes >> all_pages >> resident_pages;
+    return resident_pages * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
 std::string daemon_process::log() const
 {
     std::ostringstream text;
--- a/tests/platform/daemon_process.hpp
+++ b/tests/platform/daemon_process.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <filesystem>
 #include <functional>
 #include <optional>
@@ -45,11 +46,16 @@
     // daemon.
     void write_settings(const std::string& address) const;
     std::filesystem::path settings_path() const;
+    // The kernel gives processes started from now on no more address space.
+    // Ignored in builds with sanitizers, which need far more of it.
+    void limit_memory(std::uint64_t bytes) { memory_limit_ = bytes; }
     void start();
     void send(int signal);
     bool running();
     // The exit status, or 128 and the signal's number; nothing while it runs.
     std::optional<int> end_status();
+    // Memory that the process uses now; 0 if it has ended.
+    std::uint64_t resident_bytes() const;
     // What the daemon has written to its log so far.
     std::string log() const;
 
@@ -69,6 +75,7 @@
     int number_;
     std::string host_;
     std::filesystem::path folder_;
+    std::optional<std::uint64_t> memory_limit_;
     boost::process::child child_;
 };
 
--- /dev/null
+++ b/tests/platform/memory_scene.hpp
@@ -0,0 +1,114 @@
+// The real daemon as a process with a limit on its memory, workers of which
+// some send bodies without end, and callers of which some send large uploads.
+// Workers and callers run on one event loop in the test's thread.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "base/time.hpp"
+#include "platform/daemon_process.hpp"
+#include "platform/fake_store.hpp"
+
+namespace waxwingvalve::tests
+{
+
+// What a worker sends until the daemon closes the connection.
+enum class endless_answer : std::uint8_t
+{
+    none,
+    // A body that ends with the connection.
+    body_until_close,
+    chunks,
+    // The same with status 503.
+    refusal,
+    one_byte_chunks,
+};
+
+// What workers and callers saw of one request.
+struct seen_request
+{
+    bool idempotent{};
+    int runs{0};
+    // Its worker answered with bytes without end.
+    bool spoiled{};
+    // 0 if the connection ended without an answer.
+    unsigned status{0};
+    bool ended{};
+    base::duration took{};
+};
+
+class memory_scene
+{
+public:
+    // As the users' machines have it.
+    static constexpr std::uint64_t memory_bytes = 260ULL * 1024 * 1024;
+    // Of each request.
+    static constexpr std::chrono::milliseconds deadline{4'000};
+    static constexpr std::size_t upload_bytes = 60'000'000;
+
+    // Who keeps the process within its memory.
+    enum class limited_by : std::uint8_t
+    {
+        // Allocation fails beyond the limit.
+        kernel,
+        // The process is killed beyond it, as on the users' machines.
+        supervisor,
+    };
+
+    // The first `faulty_workers` of six spoil each tenth request.
+    memory_scene(endless_answer fault, int faulty_workers, limited_by limit);
+
+    // Callers of small requests, half of them not idempotent, and of uploads,
+    // for `time`; then waits until all requests have ended.
+    void play(std::chrono::milliseconds time, int callers, int uploaders);
+
+    // Checks what holds whatever workers and callers send: the daemon goes on,
+    // every request is answered in time, none is refused that has run, and a
+    // request with a sound answer gets it.
+    void check_promises();
+    // Checks that a request is served now.
+    void check_served();
+
+    daemon_process& daemon() { return daemon_; }
+    const std::map<std::string, seen_request>& requests() const
+    {
+        return requests_;
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    boost::asio::awaitable<void> supervise();
+    boost::asio::awaitable<void> accept(tcp::acceptor& acceptor, bool faulty);
+    boost::asio::awaitable<void> serve(tcp::socket socket, bool faulty);
+    boost::asio::awaitable<void> answer_without_end(
+        tcp::socket& socket, const std::string& id);
+    boost::asio::awaitable<void> call_until(base::instant end, bool uploads);
+    // Returns false if the connection has ended.
+    boost::asio::awaitable<bool> call(tcp::socket& socket, bool upload);
+    boost::asio::awaitable<bool> connect(tcp::socket& socket);
+    std::string next_id();
+
+    boost::asio::io_context loop_;
+    endless_answer fault_;
+    fake_store store_{loop_};
+    std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
+    daemon_process daemon_{loop_, store_, 0};
+    // Most memory that the daemon was seen to use.
+    std::uint64_t peak_bytes_{0};
+    // Requests that workers have read.
+    int served_{0};
+    int active_callers_{0};
+    std::map<std::string, seen_request> requests_;
+};
+
+} // namespace waxwingvalve::tests
