Base, front, platform: the limit on memory and its use are told

No line and no metric said what the process may use, where that limit comes from, or what it uses: an end by memory left no trace that tells it from a start that fails or a stop. base/memory_limit takes the strictest of the settings, the rlimits, the control groups, half of the physical memory, and a stated 256 MiB where nothing is known.

--- a/packages/front/body_memory.hpp
+++ b/packages/front/body_memory.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "base/byte_budget.hpp"
+#include "base/memory_limit.hpp"
 
 namespace waxwingvalve::front
 {
@@ -17,6 +18,8 @@
     {
     }
 
+    // What the process may use for everything.
+    base::memory_limit process{};
     base::byte_budget requests;
     base::byte_budget answers;
 };
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -33,6 +33,21 @@
         "waxwingvalve_body_bytes{{of=\"{}\"}} {}\n", kind, budget.used());
 }
 
+// What the process may use of the VM's memory, and what it uses.
+void add_process_memory(std::string& text, const base::memory_limit& limit)
+{
+    text += fmt::format(
+        "# HELP waxwingvalve_memory_limit_bytes What the process may use.\n"
+        "# TYPE waxwingvalve_memory_limit_bytes gauge\n"
+        "waxwingvalve_memory_limit_bytes{{source=\"{}\"}} {}\n"
+        "# HELP waxwingvalve_resident_bytes What the process uses.\n"
+        "# TYPE waxwingvalve_resident_bytes gauge\n"
+        "waxwingvalve_resident_bytes {}\n",
+        base::describe(limit.source),
+        limit.bytes,
+        base::resident_bytes());
+}
+
 } // namespace
 
 void latency_histogram::add(base::duration latency)
@@ -105,6 +120,7 @@
         text += fmt::format(
             "waxwingvalve_request_ends_total{{end=\"{}\"}} {}\n", end, count);
     }
+    add_process_memory(text, memory.process);
     text += "# HELP waxwingvalve_body_bytes Buffered bytes of bodies.\n"
             "# TYPE waxwingvalve_body_bytes gauge\n";
     add_body_bytes(text, "request", memory.requests);
--- a/tests/front/request_metrics_test.cpp
+++ b/tests/front/request_metrics_test.cpp
@@ -35,4 +35,19 @@
         std::string::npos);
 }
 
+// Guards against a process that ends by its memory and leaves no trace of what
+// it was allowed to use.
+BOOST_AUTO_TEST_CASE(metrics_text_tells_the_limit_on_memory_and_its_use)
+{
+    front::body_memory memory{1'000};
+    memory.process = {
+        .bytes = 4'000, .source = base::memory_limit_source::settings};
+    const auto text = front::metrics_text({}, memory);
+    BOOST_TEST(
+        text.find("memory_limit_bytes{source=\"settings\"} 4000") !=
+        std::string::npos);
+    BOOST_TEST(text.find("resident_bytes 0\n") == std::string::npos);
+    BOOST_TEST(text.find("resident_bytes ") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
