--- a/packages/schema/front_settings.cpp
+++ b/packages/schema/front_settings.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::uint32_t known_schema_version = 1;
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+// The daemon alone, with tables of a large fleet.
+constexpr std::uint32_t least_memory_mb = 32;
 
 auto invalid(
     std::string_view path, std::string_view expected, std::string_view found)
@@ -135,7 +137,20 @@
     out.retry_ratio = in.retry_ratio;
     out.retry_allowance = in.retry_allowance;
     out.region_step = in.region_step;
+    return base::success();
+}
+
+result<void> read_memory(const wire::front_settingsT& in, front_settings& out)
+{
+    if (in.memory_mb > 0 && in.memory_mb < least_memory_mb)
+    {
+        return invalid(
+            "memory_mb",
+            fmt::format("0, or {} or more", least_memory_mb),
+            fmt::format("{}", in.memory_mb));
+    }
     out.body_memory_bytes = std::uint64_t{in.body_memory_mb} * bytes_per_mb;
+    out.memory_bytes = std::uint64_t{in.memory_mb} * bytes_per_mb;
     return base::success();
 }
 
@@ -184,6 +199,7 @@
     BOOST_OUTCOME_TRY(read_places(in, out));
     BOOST_OUTCOME_TRY(read_addresses(in, out));
     BOOST_OUTCOME_TRY(read_bounds(in, out));
+    BOOST_OUTCOME_TRY(read_memory(in, out));
     BOOST_OUTCOME_TRY(out.log_level, level_at("log_level", in.log_level));
     return out;
 }
--- a/packages/schema/front_settings.hpp
+++ b/packages/schema/front_settings.hpp
@@ -47,8 +47,11 @@
     base::log_level log_level{base::log_level::info};
     // How often a worker reports; its entry ends after three silent intervals.
     std::chrono::milliseconds worker_report_interval{1'500};
-    // Memory for the bodies of requests and answers; 0 for a share of the VM's.
+    // Memory for the bodies of requests and answers; 0 for a share of what the
+    // process may use.
     std::uint64_t body_memory_bytes{};
+    // What the process may use in all; 0 where only the system says it.
+    std::uint64_t memory_bytes{};
 };
 
 // Errors: settings_malformed, settings_invalid.
--- a/tests/front/fleet_fixture.cpp
+++ b/tests/front/fleet_fixture.cpp
@@ -97,9 +97,9 @@
 {
     for (int i = 0; i < daemon_count; ++i)
     {
-        auto& memory =
-            memories_.emplace_back(std::make_unique<front::body_memory>(
-                front_fixture::body_memory_bytes));
+        auto& memory = memories_.emplace_back(
+            std::make_unique<front::body_memory>(front::memory_options{
+                .body_bytes = front_fixture::body_memory_bytes}));
         daemons_.push_back(std::make_unique<daemon>(loop_, *memory, i));
     }
     for (auto& one : daemons_)
--- a/tests/front/front_fixture.hpp
+++ b/tests/front/front_fixture.hpp
@@ -116,7 +116,7 @@
     void run_for(std::chrono::milliseconds time);
 
     // Before the event loop, whose handlers hold parts of it until its end.
-    front::body_memory memory{body_memory_bytes};
+    front::body_memory memory{{.body_bytes = body_memory_bytes}};
     boost::asio::io_context loop;
     front::fleet_view view;
     front::upstream_pool pool{loop, memory.answers};
--- a/tests/front/request_metrics_test.cpp
+++ b/tests/front/request_metrics_test.cpp
@@ -28,7 +28,8 @@
     front::request_metrics counts;
     counts.requests = 7;
     counts.ends["not_run"] = 2;
-    const auto text = front::metrics_text(counts, front::body_memory{1'000});
+    const auto text =
+        front::metrics_text(counts, front::body_memory{{.body_bytes = 1'000}});
     BOOST_TEST(text.find("waxwingvalve_requests_total 7") != std::string::npos);
     BOOST_TEST(
         text.find("request_ends_total{end=\"not_run\"} 2") !=
@@ -39,9 +40,10 @@
 // it was allowed to use.
 BOOST_AUTO_TEST_CASE(metrics_text_tells_the_limit_on_memory_and_its_use)
 {
-    front::body_memory memory{1'000};
-    memory.process = {
-        .bytes = 4'000, .source = base::memory_limit_source::settings};
+    const front::body_memory memory{
+        {.process =
+             {.bytes = 4'000, .source = base::memory_limit_source::settings},
+         .body_bytes = 1'000}};
     const auto text = front::metrics_text({}, memory);
     BOOST_TEST(
         text.find("memory_limit_bytes{source=\"settings\"} 4000") !=
--- a/tests/platform/daemon_process.cpp
+++ b/tests/platform/daemon_process.cpp
@@ -37,7 +37,10 @@
 
 // Addresses of the daemon, and of the one before it as the seed.
 std::string settings_of(
-    int number, const std::string& host, const base::endpoint& store)
+    int number,
+    const std::string& host,
+    const base::endpoint& store,
+    int memory_mb)
 {
     const auto at = [&host](daemon_port port)
     { return fmt::format("{}:{}", host, static_cast<int>(port)); };
@@ -48,7 +51,7 @@
 "seeds": ["{}:{}"], "zones": [{{"zone": "addis-a", "region": "addis"}}],
 "store_address": "{}", "lookup_lifetime": "1s", "stop_time": "4s",
 "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 100,
-"log_level": "info"}})",
+"memory_mb": {}, "log_level": "info"}})",
         number,
         at(daemon_port::callers),
         at(daemon_port::readiness),
@@ -57,7 +60,8 @@
         static_cast<int>(daemon_port::peers),
         own_host(std::max(number - 1, 0)),
         static_cast<int>(daemon_port::control),
-        to_string(store));
+        to_string(store),
+        memory_mb);
 }
 
 } // namespace
@@ -92,7 +96,13 @@
 void daemon_process::write_settings(const std::string& address) const
 {
     std::ofstream{settings_path()}
-        << settings_of(number_, address, store_.address());
+        << settings_of(number_, address, store_.address(), memory_mb_);
+}
+
+void daemon_process::set_memory_mb(int mb)
+{
+    memory_mb_ = mb;
+    write_settings(host_);
 }
 
 std::filesystem::path daemon_process::settings_path() const
--- a/tests/platform/daemon_process.hpp
+++ b/tests/platform/daemon_process.hpp
@@ -46,6 +46,8 @@
     // daemon.
     void write_settings(const std::string& address) const;
     std::filesystem::path settings_path() const;
+    // Settings say from now on that the process may use this.
+    void set_memory_mb(int mb);
     // The kernel gives processes started from now on no more address space.
     // Ignored in builds with sanitizers, which need far more of it.
     void limit_memory(std::uint64_t bytes) { memory_limit_ = bytes; }
@@ -75,6 +77,8 @@
     int number_;
     std::string host_;
     std::filesystem::path folder_;
+    // Not in the settings if it is 0.
+    int memory_mb_{0};
     std::optional<std::uint64_t> memory_limit_;
     boost::process::child child_;
 };
--- a/tests/platform/lookups_test.cpp
+++ b/tests/platform/lookups_test.cpp
@@ -64,7 +64,7 @@
         {{"addis-a", "addis"}, {"addis-b", "addis"}, {"harar-a", "harar"}},
         1};
     front::request_metrics metrics;
-    front::body_memory memory{1'000};
+    front::body_memory memory{{.body_bytes = 1'000}};
     platform::store_watch watch{
         loop, {"127.0.0.1", 9}, view, metrics, std::chrono::milliseconds{1500}};
     bool leaving{false};
--- a/tests/platform/memory_scene.cpp
+++ b/tests/platform/memory_scene.cpp
@@ -35,6 +35,7 @@
 // Each of a faulty worker's requests whose number is a multiple is spoiled.
 constexpr int spoiled_every = 10;
 constexpr std::size_t block_bytes = 64 * 1024;
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 constexpr std::size_t sound_body_bytes = 3'000;
 constexpr std::chrono::milliseconds start_limit{2'500};
 constexpr std::chrono::milliseconds call_pause{5};
@@ -156,6 +157,10 @@
     {
         daemon_.limit_memory(memory_bytes);
     }
+    else
+    {
+        daemon_.set_memory_mb(memory_bytes / bytes_per_mb);
+    }
     daemon_.start();
     BOOST_REQUIRE(
         daemon_.wait_until(start_limit, [this] { return daemon_.ready(); }));
--- a/tests/schema/front_settings_test.cpp
+++ b/tests/schema/front_settings_test.cpp
@@ -35,7 +35,8 @@
   "region_step": 0.15,
   "log_level": "error",
   "worker_report_interval": "2s",
-  "body_memory_mb": 40
+  "body_memory_mb": 40,
+  "memory_mb": 260
 })";
 
 struct bad_value
@@ -63,7 +64,9 @@
     {R"("region_step": 0.15)", R"("region_step": 0)"},
     {R"("log_level": "error")", R"("log_level": "loud")"},
     {R"("body_memory_mb": 40)", R"("body_memory_mb": "much")"},
-    {R"("body_memory_mb": 40)", R"("body_memory": 40)"}};
+    {R"("body_memory_mb": 40)", R"("body_memory": 40)"},
+    {R"("memory_mb": 260)", R"("memory_mb": 31)"},
+    {R"("memory_mb": 260)", R"("memory_mb": -1)"}};
 
 std::string with(const bad_value& value)
 {
@@ -89,6 +92,7 @@
     BOOST_TEST(settings.retry_allowance == 430);
     BOOST_TEST((settings.log_level == base::log_level::error));
     BOOST_TEST(settings.body_memory_bytes == 40ULL * 1024 * 1024);
+    BOOST_TEST(settings.memory_bytes == 260ULL * 1024 * 1024);
 }
 
 BOOST_DATA_TEST_CASE(bad_values_are_rejected, bad_values)
