Net, front: bodies count with the memory that they take

With a budget of 65 MB a daemon took up to 126 MB: a body that grew was counted by its size while its buffer doubled, each answer was copied to be written, and freed blocks stayed in the allocator. In the test the time of an upload begins when it has been sent: a daemon knows of its deadline from then on.

--- a/packages/base/byte_budget.cpp
+++ b/packages/base/byte_budget.cpp
@@ -3,10 +3,18 @@
 namespace waxwingvalve::base
 {
 
-bool byte_budget::try_take(std::uint64_t bytes)
+bool byte_budget::has_room(std::uint64_t bytes, byte_claim claim) const
 {
+    const auto kept = claim == byte_claim::kept ? 0 : kept_;
     // A stated length can be as large as the type allows.
-    if (bytes > limit_ || used_ > limit_ - bytes)
+    const auto most = limit_ > kept ? limit_ - kept : 0;
+    return bytes <= most && used_ <= most - bytes;
+}
+
+bool byte_budget::try_take(std::uint64_t bytes, byte_claim claim)
+{
+    if (!has_room(bytes, claim) ||
+        (whole_ != nullptr && !whole_->try_take(bytes, claim)))
     {
         ++refusals_;
         return false;
@@ -15,13 +23,33 @@
     return true;
 }
 
+void byte_budget::take(std::uint64_t bytes)
+{
+    used_ += bytes;
+    if (whole_ != nullptr)
+    {
+        whole_->take(bytes);
+    }
+}
+
+void byte_budget::give_back(std::uint64_t bytes)
+{
+    used_ -= bytes;
+    if (whole_ != nullptr)
+    {
+        whole_->give_back(bytes);
+    }
+}
+
 byte_hold& byte_hold::operator=(byte_hold&& other) noexcept
 {
     if (this != &other)
     {
         release();
+        owner_ = other.owner_;
         budget_ = other.budget_;
         bytes_ = std::exchange(other.bytes_, 0);
+        claim_ = other.claim_;
     }
     return *this;
 }
@@ -32,7 +60,7 @@
     {
         return true;
     }
-    if (!budget_->try_take(bytes - bytes_))
+    if (!budget_->try_take(bytes - bytes_, claim_))
     {
         return false;
     }
@@ -42,7 +70,7 @@
 
 void byte_hold::resize(std::uint64_t bytes)
 {
-    if (budget_ == nullptr)
+    if (budget_ == nullptr || bytes == bytes_)
     {
         return;
     }
@@ -51,4 +79,10 @@
     bytes_ = bytes;
 }
 
+bool byte_hold::over_part(std::uint64_t bytes) const
+{
+    return budget_ != nullptr && budget_->whole() != nullptr &&
+           bytes > bytes_ && !budget_->has_room(bytes - bytes_, claim_);
+}
+
 } // namespace waxwingvalve::base
--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -29,27 +29,23 @@
 // Limit on buffered bytes of requests behind a full pipeline.
 constexpr std::size_t max_read_ahead_bytes = 16 * 1024;
 
-void append_answer(
-    std::string& output,
-    const net::http_response& answer,
-    bool head_request,
-    bool close)
+// A body up to this size is sent in one piece with its head.
+constexpr std::size_t joined_body_bytes = 8 * 1024;
+
+std::string format_head(const net::http_response& answer, bool close)
 {
-    output += fmt::format(
+    auto head = fmt::format(
         "HTTP/1.1 {} {}\r\n",
         answer.status,
         std::string_view{
             http::obsolete_reason(static_cast<http::status>(answer.status))});
     for (const auto& [name, value] : answer.fields)
     {
-        output += fmt::format("{}: {}\r\n", name, value);
-    }
-    output += fmt::format("Content-Length: {}\r\n", answer.body.size());
-    output += close ? "Connection: close\r\n\r\n" : "\r\n";
-    if (!head_request)
-    {
-        output += answer.body;
+        head += fmt::format("{}: {}\r\n", name, value);
     }
+    head += fmt::format("Content-Length: {}\r\n", answer.body.size());
+    head += close ? "Connection: close\r\n\r\n" : "\r\n";
+    return head;
 }
 
 result_code code_of(net::message_fault fault)
@@ -81,8 +77,7 @@
     closed_handler on_closed)
     : context_{context}, socket_{std::move(socket)},
       on_closed_{std::move(on_closed)}, reader_{context.memory.requests},
-      output_bytes_{context.memory.answers}, idle_since_{
-                                                 base::monotonic_clock::now()}
+      idle_since_{base::monotonic_clock::now()}
 {
 }
 
@@ -190,7 +185,7 @@
 {
     if (reader_.continue_expected() && reader_.buffered() == 0)
     {
-        output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        output_.push_back({.head = "HTTP/1.1 100 Continue\r\n\r\n"});
         write();
     }
 }
@@ -270,7 +265,7 @@
             {
                 if (const auto answered = request.lock())
                 {
-                    answered->answer_bytes.resize(answer.body.size());
+                    answered->answer_bytes.resize(answer.body.capacity());
                     answered->answer = std::move(answer);
                 }
                 if (const auto self = session.lock())
@@ -318,8 +313,7 @@
             pending->close_after_answer ||
             (none_started_after &&
              (close_announced_ || (input_ended_ && pending_.empty())));
-        append_answer(output_, *pending->answer, pending->head_request, close);
-        output_bytes_.resize(output_.size() + output_in_flight_.size());
+        queue_answer(*pending, close);
         answers_added = true;
         if (close)
         {
@@ -341,6 +335,24 @@
     read();
 }
 
+void client_session::queue_answer(pending_request& answered, bool close)
+{
+    auto& answer = *answered.answer;
+    outgoing out{
+        .head = format_head(answer, close),
+        .memory = std::move(answered.answer_bytes)};
+    if (answered.head_request || answer.body.size() <= joined_body_bytes)
+    {
+        out.head += answered.head_request ? std::string_view{} : answer.body;
+        out.memory.resize(out.head.capacity());
+    }
+    else
+    {
+        out.body = std::move(answer.body);
+    }
+    output_.push_back(std::move(out));
+}
+
 void client_session::write()
 {
     if (closed_ || output_.empty() || !output_in_flight_.empty())
@@ -349,14 +361,19 @@
     }
     output_in_flight_ = std::exchange(output_, {});
     write_started_at_ = base::monotonic_clock::now();
+    std::vector<asio::const_buffer> buffers;
+    for (const auto& out : output_in_flight_)
+    {
+        buffers.push_back(asio::buffer(out.head));
+        buffers.push_back(asio::buffer(out.body));
+    }
     asio::async_write(
         socket_,
-        asio::buffer(output_in_flight_),
+        buffers,
         [self =
              shared_from_this()](const beast::error_code& failure, std::size_t)
         {
-            self->output_in_flight_ = {};
-            self->output_bytes_.resize(self->output_.size());
+            self->output_in_flight_.clear();
             self->write_started_at_.reset();
             if (self->closed_)
             {
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -77,6 +78,14 @@
     };
     using pending_ptr = std::shared_ptr<pending_request>;
 
+    // Bytes for the caller, and the memory of their body.
+    struct outgoing
+    {
+        std::string head{};
+        std::string body{};
+        base::byte_hold memory{};
+    };
+
     void read();
     void handle_input(std::size_t size);
     void process_input();
@@ -85,6 +94,7 @@
     void begin_request();
     void refuse_input(base::result_code code);
     void queue_refusal(net::http_response refusal, base::result_code code);
+    void queue_answer(pending_request& answered, bool close);
     void start_pending();
     void handle_answer();
     void send_finished_answers();
@@ -106,10 +116,8 @@
     std::array<char, 8 * 1024> received_;
     net::request_reader reader_;
     std::deque<pending_ptr> pending_;
-    std::string output_;
-    std::string output_in_flight_;
-    // Memory of the answers that are being written.
-    base::byte_hold output_bytes_;
+    std::vector<outgoing> output_;
+    std::vector<outgoing> output_in_flight_;
     base::instant idle_since_;
     // When parsing of the current, incomplete request began.
     std::optional<base::instant> request_started_at_;
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -248,6 +248,8 @@
     context_.counts.answer_latency.add(
         base::monotonic_clock::now() - received_at_);
     log_end(end, answer.status);
+    // The caller's connection counts the answer from here on.
+    answer_bytes_.release();
     if (!caller_gone_ && respond_)
     {
         respond_(std::move(answer));
--- a/packages/net/message_reader.cpp
+++ b/packages/net/message_reader.cpp
@@ -17,13 +17,17 @@
 
 // Head and buffered bytes up to this size belong to the cost of an open
 // connection and are not counted.
-constexpr std::size_t uncounted_bytes = 16 * 1024;
+constexpr std::size_t uncounted_bytes = 12 * 1024;
+// What the allocator and the two strings of a field add to its bytes.
+constexpr std::size_t field_overhead_bytes = 32;
+// The first memory of a body whose length isn't known or not believed yet.
+constexpr std::size_t first_body_bytes = 4 * 1024;
 // A chunk's size line with the line end before it: CRLF, 16 digits, CRLF.
 constexpr std::size_t plain_line_bytes = 20;
 // The shortest end of a chunked body: "0", CRLF, CRLF.
 constexpr std::size_t chunk_tail_bytes = 5;
 // A larger buffer is given back when it is empty.
-constexpr std::size_t kept_buffer_bytes = 16 * 1024;
+constexpr std::size_t kept_buffer_bytes = 8 * 1024;
 
 } // namespace
 
@@ -100,6 +104,10 @@
 {
     while (buffer_.size() > 0 && has_chunk_tail())
     {
+        if (!make_room_for_body())
+        {
+            return refuse(message_fault::no_memory);
+        }
         const bool in_head = !parser_->is_header_done();
         const auto body_before = parser_->message().body.size();
         beast::error_code failure;
@@ -123,20 +131,18 @@
         {
             return refuse(message_fault::framing_too_large);
         }
-        if (!count_memory())
+        shrink_buffer();
+        if (!count_memory(memory_taken(body_memory())))
         {
             return refuse(message_fault::no_memory);
         }
         if (parser_->is_done())
         {
-            shrink_buffer();
             return read_event::message;
         }
         if (parser_->is_header_done() && !head_reported_)
         {
             head_reported_ = true;
-            parser_->message().body.reserve(
-                parser_->content_length().value_or(0));
             return read_event::head;
         }
         if (used == 0 || failure)
@@ -144,10 +150,52 @@
             break;
         }
     }
-    shrink_buffer();
     return read_event::need_more;
 }
 
+// Takes memory for what is buffered, so that the parser's appending never does.
+template <bool is_request>
+bool message_reader<is_request>::make_room_for_body()
+{
+    if (!parser_->is_header_done())
+    {
+        return true;
+    }
+    const auto& body = parser_->message().body;
+    const std::uint64_t stated = parser_->content_length().value_or(0);
+    // A request's length is counted as soon as it is stated.
+    const bool whole = is_request && stated > 0;
+    const std::uint64_t needed = whole ? stated : body.size() + buffer_.size();
+    if (needed <= body.capacity() || body.size() >= limits_.body_bytes)
+    {
+        return true;
+    }
+    if (whole)
+    {
+        return move_body(stated);
+    }
+    const auto most = stated > 0 ? stated : limits_.body_bytes;
+    const auto doubled =
+        std::max<std::uint64_t>(2 * body.capacity(), first_body_bytes);
+    return move_body(std::max(std::min(doubled, most), needed));
+}
+
+template <bool is_request>
+bool message_reader<is_request>::move_body(std::size_t capacity)
+{
+    auto& body = parser_->message().body;
+    if (!count_memory(memory_taken(body_memory() + capacity)))
+    {
+        return false;
+    }
+    // A string that grows by itself takes more than it is asked for.
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(body);
+    body = std::move(larger);
+    return count_memory(memory_taken(body_memory()));
+}
+
 // `used` bytes were parsed behind the head, `content` of them into the body.
 template <bool is_request>
 bool message_reader<is_request>::framing_within_limits(
@@ -164,26 +212,44 @@
     return framing_bytes_ + (used == 0 ? unparsed : 0) <= limits_.framing_bytes;
 }
 
+// Growth may be refused; a message that takes less than before never is.
+template <bool is_request>
+bool message_reader<is_request>::count_memory(std::uint64_t bytes)
+{
+    if (bytes < memory_.bytes())
+    {
+        memory_.resize(bytes);
+        return true;
+    }
+    return memory_.try_grow(bytes);
+}
+
 template <bool is_request>
-bool message_reader<is_request>::count_memory()
+std::uint64_t message_reader<is_request>::body_memory() const
 {
-    return memory_.try_grow(bytes_taken());
+    const auto capacity = parser_->message().body.capacity();
+    // A short body is within the string itself.
+    return capacity == std::string{}.capacity() ? 0 : capacity;
 }
 
+// Memory of the message, with so much for its body.
 template <bool is_request>
-std::uint64_t message_reader<is_request>::bytes_taken() const
+std::uint64_t message_reader<is_request>::memory_taken(std::uint64_t body) const
 {
     const auto& message = parser_->message();
+    const std::uint64_t head =
+        head_bytes_ + message.fields.capacity() * sizeof(header_field) +
+        message.fields.size() * field_overhead_bytes;
     if (parser_->is_done())
     {
-        return message.body.size() + head_bytes_ +
-               message.fields.size() * sizeof(header_field);
+        return body + head;
     }
-    // A stated length counts before its bytes come.
-    const auto stated =
-        parser_->is_header_done() ? parser_->content_length().value_or(0) : 0;
-    const std::uint64_t rest = head_bytes_ + buffer_.size();
-    return std::max<std::uint64_t>(message.body.size(), stated) +
+    // A request's length counts before its bytes come.
+    const std::uint64_t stated = is_request && parser_->is_header_done()
+                                     ? parser_->content_length().value_or(0)
+                                     : 0;
+    const std::uint64_t rest = head + buffer_.capacity();
+    return std::max(body, stated) +
            (rest > uncounted_bytes ? rest - uncounted_bytes : 0);
 }
 
--- a/packages/net/message_reader.hpp
+++ b/packages/net/message_reader.hpp
@@ -3,14 +3,18 @@
 // Every reader of a peer's bytes uses it, so that one place decides what a
 // message may cost: the head, the body, the framing of a chunked body, and the
 // bytes that are buffered because they end in the middle of one of these. All
-// of it is within message_limits and counted against a memory budget. The
-// bytes of a peer cause no exception here.
+// of it is within message_limits and counted against a memory budget, by the
+// memory that it takes and not by its bytes: a body that grows is moved into
+// larger memory, and both are there meanwhile. The bytes of a peer cause no
+// exception here.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -54,6 +58,10 @@
     message_reader() = default;
     // The budget has to outlive the reader and its messages.
     explicit message_reader(base::byte_budget& memory) : memory_{memory} {}
+    explicit message_reader(std::shared_ptr<base::byte_budget> memory)
+        : memory_{std::move(memory)}
+    {
+    }
 
     // Starts to read a message; buffered bytes belong to it.
     // `without_body`: it ends with its head, whatever that says, as the answer
@@ -90,13 +98,17 @@
 private:
     read_event refuse(message_fault fault);
     bool framing_within_limits(std::size_t used, std::size_t content);
-    bool count_memory();
-    std::uint64_t bytes_taken() const;
+    bool count_memory(std::uint64_t bytes);
+    std::uint64_t body_memory() const;
+    std::uint64_t memory_taken(std::uint64_t body) const;
+    bool make_room_for_body();
+    bool move_body(std::size_t capacity);
     bool has_chunk_tail() const;
     void shrink_buffer();
 
-    // Invariant: while reading, holds the body received, or the length stated,
-    // and what the head and the buffer take beyond `uncounted_bytes`.
+    // Invariant: while reading, holds the memory of the body, or the length
+    // that a request states, and what the head and the buffer take beyond
+    // `uncounted_bytes`.
     base::byte_hold memory_{};
     message_limits limits_{};
     // Engaged while a message is read.
--- a/tests/platform/memory_scene.cpp
+++ b/tests/platform/memory_scene.cpp
@@ -301,7 +301,6 @@
     seen.idempotent = !upload && requests_.size() % 2 == 0;
     const std::size_t body_bytes =
         upload ? upload_bytes : (seen.idempotent ? 0 : 100);
-    const auto begin = base::monotonic_clock::now();
     const auto head = fmt::format(
         "{} HTTP/1.1\r\nHost: a.example\r\n{}: {}\r\n"
         "X-Waxwingvalve-Request-Deadline: {}\r\nContent-Length: {}\r\n\r\n",
@@ -323,6 +322,8 @@
             socket, asio::buffer(block, size), use_tuple);
         sent += size;
     }
+    // A daemon knows of the deadline once it has the whole request.
+    const auto begin = base::monotonic_clock::now();
     std::string input;
     std::size_t head_bytes{};
     std::tie(failure, head_bytes) = co_await asio::async_read_until(
