Front: one answer, one worker and one caller have bounds of their own

Beside workers whose answers never end, requests with sound answers were lost after they had run: one answer, one worker or one caller could take all of the memory, and nobody looked for memory before a request was sent. - Memory for the usual answer is set aside before each send, by the largest answer of the route of late where the request may not be sent again; without it the request is refused at once, as not run, with Retry-After (4006). - A quarter of the answers' memory is kept for what is set aside, and for answers of requests that may not be sent again. - One answer has an eighth, one worker's answers on their way a quarter, one caller's requests and unread answers a quarter each of the memory for bodies, by default; max_answer_mb, worker_answers_mb and caller_mb set them. - An answer over its bound ends at once (2020); another worker is asked if that may be. Fixtures of older tests let one answer, worker or caller take all, as before, since their cases fill the whole memory from one address.

--- a/packages/decision/steering/worker_table.cpp
+++ b/packages/decision/steering/worker_table.cpp
@@ -50,6 +50,7 @@
     on_probation_ = false;
     probe_in_flight_ = false;
     backoff_ = {};
+    oversized_ = {};
 }
 
 void worker::report(const load_report& load, base::instant now)
--- a/packages/decision/steering/worker_table.hpp
+++ b/packages/decision/steering/worker_table.hpp
@@ -19,6 +19,7 @@
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
 #include "decision/steering/cold_time.hpp"
+#include "decision/steering/oversized_answers.hpp"
 #include "decision/steering/worker_backoff.hpp"
 
 namespace waxwingvalve::decision::steering
@@ -104,6 +105,7 @@
     // The time for which it wants no requests from this daemon.
     worker_backoff& backoff() { return backoff_; }
     const worker_backoff& backoff() const { return backoff_; }
+    oversized_answers& oversized() { return oversized_; }
 
     void request_sent() { ++in_flight_; }
     // A probe that ends without an answer or failure frees the worker for the
@@ -165,6 +167,7 @@
     bool on_probation_{false};
     bool probe_in_flight_{false};
     worker_backoff backoff_{};
+    oversized_answers oversized_{};
 };
 
 enum class entry_change : std::uint8_t
--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -29,6 +29,9 @@
 // Limit on buffered bytes of requests behind a full pipeline.
 constexpr std::size_t max_read_ahead_bytes = 16 * 1024;
 
+// Unread answers on a connection beyond which no further request of it starts
+// before the one in front of it has been answered.
+constexpr std::uint64_t max_unread_bytes = 1024 * 1024;
 // A body up to this size is sent in one piece with its head.
 constexpr std::size_t joined_body_bytes = 8 * 1024;
 
@@ -61,6 +64,7 @@
     case net::message_fault::framing_too_large:
         return result_code::request_framing_too_large;
     case net::message_fault::no_memory:
+    case net::message_fault::sender_share:
         return result_code::overloaded;
     case net::message_fault::none:
     case net::message_fault::malformed:
@@ -74,10 +78,13 @@
 client_session::client_session(
     serving_context& context,
     asio::ip::tcp::socket socket,
+    const std::string& caller,
     closed_handler on_closed)
-    : context_{context}, socket_{std::move(socket)},
-      on_closed_{std::move(on_closed)}, reader_{context.memory.requests},
-      idle_since_{base::monotonic_clock::now()}
+    : context_{context}, request_memory_{context.memory.requests_of_callers.of(
+                             caller)},
+      answer_memory_{context.memory.answers_of_callers.of(caller)},
+      socket_{std::move(socket)}, on_closed_{std::move(on_closed)},
+      reader_{request_memory_}, idle_since_{base::monotonic_clock::now()}
 {
 }
 
@@ -195,7 +202,7 @@
     auto received = reader_.take();
     request_started_at_.reset();
     auto pending = std::make_shared<pending_request>();
-    pending->answer_bytes = base::byte_hold{context_.memory.answers};
+    pending->answer_bytes = base::byte_hold{answer_memory_};
     pending->head_request = received.message.method == "HEAD";
     pending->close_after_answer = !received.keep_alive;
     pending->flow = std::make_shared<request_flow>(
@@ -254,28 +261,56 @@
         {
             continue;
         }
-        if (i > 0 && !pending->flow->repeatable())
+        if (i > 0 && (!pending->flow->repeatable() || too_much_unread()))
         {
             return;
         }
         pending->started = true;
-        pending->flow->start(
-            [session = weak_from_this(),
-             request = std::weak_ptr{pending}](net::http_response answer)
-            {
-                if (const auto answered = request.lock())
-                {
-                    answered->answer_bytes.resize(answer.body.capacity());
-                    answered->answer = std::move(answer);
-                }
-                if (const auto self = session.lock())
-                {
-                    asio::post(
-                        self->socket_.get_executor(),
-                        [self] { self->handle_answer(); });
-                }
-            });
+        if (answer_memory_->used() > answer_memory_->limit())
+        {
+            pending->flow->reject(
+                {result_code::overloaded, "the caller leaves answers unread"},
+                responder_to(pending));
+            continue;
+        }
+        pending->flow->start(responder_to(pending));
+    }
+}
+
+request_flow::responder client_session::responder_to(const pending_ptr& pending)
+{
+    return [session = weak_from_this(),
+            request = std::weak_ptr{pending}](net::http_response answer)
+    {
+        if (const auto answered = request.lock())
+        {
+            answered->answer_bytes.resize(answer.body.capacity());
+            answered->answer = std::move(answer);
+        }
+        if (const auto self = session.lock())
+        {
+            asio::post(
+                self->socket_.get_executor(),
+                [self] { self->handle_answer(); });
+        }
+    };
+}
+
+bool client_session::too_much_unread() const
+{
+    std::uint64_t bytes = 0;
+    for (const auto& pending : pending_)
+    {
+        bytes += pending->answer_bytes.bytes();
+    }
+    for (const auto* queue : {&output_, &output_in_flight_})
+    {
+        for (const auto& out : *queue)
+        {
+            bytes += out.memory.bytes();
+        }
     }
+    return bytes > max_unread_bytes;
 }
 
 void client_session::handle_answer()
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -33,9 +33,11 @@
     using closed_handler =
         std::function<void(const std::shared_ptr<client_session>&)>;
 
+    // `caller` is the caller's IP number.
     client_session(
         serving_context& context,
         boost::asio::ip::tcp::socket socket,
+        const std::string& caller,
         closed_handler on_closed);
     client_session(const client_session&) = delete;
     client_session& operator=(const client_session&) = delete;
@@ -96,6 +98,9 @@
     void queue_refusal(net::http_response refusal, base::result_code code);
     void queue_answer(pending_request& answered, bool close);
     void start_pending();
+    request_flow::responder responder_to(const pending_ptr& pending);
+    // Answers that wait to be read take as much as they may.
+    bool too_much_unread() const;
     void handle_answer();
     void send_finished_answers();
     void write();
@@ -109,6 +114,9 @@
     bool may_read_more() const;
 
     serving_context& context_;
+    // What this caller's requests and its unread answers may take.
+    std::shared_ptr<base::byte_budget> request_memory_;
+    std::shared_ptr<base::byte_budget> answer_memory_;
     boost::asio::ip::tcp::socket socket_;
     closed_handler on_closed_;
     // Target of the pending read. It is not a part of the reader's buffer,
--- a/packages/front/front_server.cpp
+++ b/packages/front/front_server.cpp
@@ -75,9 +75,12 @@
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay{true}, ignored);
+    boost::system::error_code ended;
+    const auto caller = socket.remote_endpoint(ended).address().to_string();
     auto session = std::make_shared<client_session>(
         context_,
         std::move(socket),
+        caller,
         [this](const std::shared_ptr<client_session>& closed)
         { sessions_.erase(closed); });
     sessions_.insert(session);
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -24,6 +24,21 @@
 // budget, because they cost workers nothing.
 constexpr std::uint32_t max_connect_failures = 3;
 
+// Whether the worker sent more than one answer may have, whatever memory there
+// is.
+bool passes_bounds(net::message_fault fault)
+{
+    switch (fault)
+    {
+    case net::message_fault::head_too_large:
+    case net::message_fault::body_too_large:
+    case net::message_fault::framing_too_large:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 void request_flow::record_state(
@@ -127,6 +142,11 @@
     }
     if (is_success(answer.status) && signed_by_worker)
     {
+        if (!route_->idempotent)
+        {
+            context_.answer_sizes.record(
+                route_->name, outcome.needed_memory, now);
+        }
         context_.view.record_outcome(*worker, false, now);
         context_.view.record_latency(
             service_, now - attempt_started_at_, route_->target_latency);
@@ -174,6 +194,8 @@
         outcome.reused,
         "reason",
         outcome.detail,
+        "bytes",
+        outcome.bytes_read,
         "after_ms",
         base::to_milliseconds(now - attempt_started_at_));
     if (outcome.status == exchange_status::not_connected)
@@ -194,6 +216,11 @@
         ++context_.counts.answers_unreadable;
     }
     context_.view.record_outcome(*worker, true, now);
+    const bool oversized = passes_bounds(outcome.fault);
+    if (oversized)
+    {
+        record_oversized(*worker, outcome);
+    }
     if (outcome.status == exchange_status::closed_early)
     {
         probe_for_crash(
@@ -204,12 +231,41 @@
              .sent_at = attempt_started_at_,
              .ended_at = now});
     }
+    const auto reason =
+        oversized ? result_code::answer_too_large : result_code::answer_lost;
     if (!route_->idempotent)
     {
-        refuse({result_code::answer_lost});
+        refuse({reason});
         return;
     }
-    retry_or_refuse({result_code::answer_lost}, true);
+    retry_or_refuse({reason}, true);
+}
+
+void request_flow::record_oversized(
+    steering::worker& worker, const exchange_outcome& outcome)
+{
+    using steering::oversized_answers;
+    const auto now = base::monotonic_clock::now();
+    ++context_.counts.answers_oversized;
+    const bool left_out = worker.oversized().record(now);
+    if (left_out)
+    {
+        worker.backoff().begin(oversized_answers::exclusion, now);
+    }
+    base::log_event(
+        log_level::warning,
+        log_channel::routing,
+        "worker_oversized",
+        "request",
+        attempt_id_,
+        "worker",
+        worker.entry().id,
+        "reason",
+        outcome.detail,
+        "bytes",
+        outcome.bytes_read,
+        "left_ms",
+        base::to_milliseconds(worker.backoff().left(now)));
 }
 
 void request_flow::refuse(const base::error& reason)
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -90,6 +90,13 @@
     begin_attempt();
 }
 
+void request_flow::reject(const base::error& reason, responder respond)
+{
+    respond_ = std::move(respond);
+    ++context_.counts.requests;
+    refuse(reason);
+}
+
 // Refuses requests that cannot be sent; returns true if the request may
 // proceed to worker selection.
 bool request_flow::admit()
@@ -160,6 +167,13 @@
         end_without_attempt({result_code::leaving});
         return;
     }
+    if (!set_aside_answer())
+    {
+        ++context_.counts.requests_without_answer_memory;
+        end_without_attempt(
+            {result_code::overloaded, "no memory for its answer"});
+        return;
+    }
     adopt_current_homes();
     const auto now = base::monotonic_clock::now();
     const std::string_view object =
@@ -174,6 +188,24 @@
     send_to(chosen.value());
 }
 
+// An answer that is larger than what is set aside takes more, or is lost. That
+// must not happen to a request that can't be sent again: the largest answer of
+// its route is set aside for it.
+bool request_flow::set_aside_answer()
+{
+    auto needed = context_.memory.usual_answer;
+    if (!route_->idempotent)
+    {
+        needed = std::max(
+            needed,
+            context_.answer_sizes.largest(
+                route_->name, base::monotonic_clock::now()));
+    }
+    set_aside_ =
+        base::byte_hold{context_.memory.answers, base::byte_claim::kept};
+    return set_aside_.try_grow(needed);
+}
+
 // Answers with the failure that a worker gave before, or refuses.
 void request_flow::end_without_attempt(const base::error& reason)
 {
@@ -237,6 +269,9 @@
          .id_field = context_.fields.attempt_id,
          .id = attempt_id_,
          .head_request = request_.method == "HEAD",
+         .answer_memory = std::move(set_aside_),
+         .beyond = route_->idempotent ? base::byte_claim::ordinary
+                                      : base::byte_claim::kept,
          .deadline = deadline_,
          .may_send =
              [this, worker]
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -47,6 +47,9 @@
     // first.
     void start(responder respond);
 
+    // In place of start(): refuses the request, which has not run.
+    void reject(const base::error& reason, responder respond);
+
     // Called when the caller disconnects. An idempotent request is cancelled; a
     // non-idempotent one that was sent runs to completion, so that its outcome
     // becomes known.
@@ -68,6 +71,8 @@
     bool admit();
     void adopt_current_homes();
     void begin_attempt();
+    // Sets memory aside for the answer; returns false if there is none.
+    bool set_aside_answer();
     void send_to(const fleet_view::worker_ptr& worker);
     std::string serialize_head(const steering::worker& worker) const;
     void attempt_ended(
@@ -76,6 +81,9 @@
         const fleet_view::worker_ptr& worker, exchange_outcome outcome);
     void handle_failure(
         const fleet_view::worker_ptr& worker, const exchange_outcome& outcome);
+    // Leaves a worker out for a while whose answers pass their bounds again.
+    void record_oversized(
+        steering::worker& worker, const exchange_outcome& outcome);
     // Records what the worker says of itself with any answer.
     void record_state(
         steering::worker& worker, const net::http_response& answer);
@@ -135,6 +143,8 @@
     std::optional<base::error> refusal_reason_{};
     // Unsuccessful answer of a worker, passed on if no retry succeeds.
     std::optional<net::http_response> last_answer_;
+    // Set aside for the answer of the next attempt.
+    base::byte_hold set_aside_;
     // Memory of the newest answer.
     base::byte_hold answer_bytes_;
     bool caller_gone_{false};
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -140,6 +140,16 @@
         "answers_unreadable_total",
         "Answers of workers that could not be read.",
         counts.answers_unreadable);
+    add_counter(
+        text,
+        "answers_oversized_total",
+        "Answers over the bounds of one answer or of their worker.",
+        counts.answers_oversized);
+    add_counter(
+        text,
+        "requests_without_answer_memory_total",
+        "Requests not sent for lack of memory for their answer.",
+        counts.requests_without_answer_memory);
     add_counter(
         text,
         "handlers_failed_total",
--- a/packages/front/request_metrics.hpp
+++ b/packages/front/request_metrics.hpp
@@ -54,6 +54,9 @@
     std::uint64_t health_answers{};
     std::uint64_t requests_unreadable{};
     std::uint64_t answers_unreadable{};
+    // Answers over the bounds of one answer or of their worker.
+    std::uint64_t answers_oversized{};
+    std::uint64_t requests_without_answer_memory{};
     // Request counts by final result: "passed_on", "not_run", "unknown".
     std::map<std::string, std::uint64_t> ends{};
     latency_histogram answer_latency{};
--- a/packages/front/serving_context.hpp
+++ b/packages/front/serving_context.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "decision/drains/stop_admission.hpp"
+#include "decision/limits/answer_sizes.hpp"
 #include "front/body_memory.hpp"
 #include "front/fleet_view.hpp"
 #include "front/header_names.hpp"
@@ -22,6 +23,7 @@
     upstream_pool& pool;
     body_memory& memory;
     request_metrics& counts;
+    decision::limits::answer_sizes answer_sizes{};
     decision::drains::stop_admission stop{};
 };
 
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -66,8 +66,11 @@
     case net::message_fault::head_too_large:
         return "the head of the answer is too large";
     case net::message_fault::body_too_large:
+        return "the body of the answer is over its limit";
     case net::message_fault::no_memory:
         return "no memory for the answer";
+    case net::message_fault::sender_share:
+        return "the worker's answers take all of its memory";
     case net::message_fault::framing_too_large:
         return "the framing of the answer's chunks is too large";
     case net::message_fault::none:
@@ -85,9 +88,10 @@
     state(
         asio::io_context& context,
         base::endpoint address,
-        base::byte_budget& memory)
+        std::shared_ptr<base::byte_budget> memory,
+        std::uint64_t max_answer_bytes)
         : worker_address{std::move(address)}, socket{context}, timer{context},
-          max_body_bytes{memory.limit()}, reader{memory}
+          max_body_bytes{max_answer_bytes}, reader{std::move(memory)}
     {
     }
 
@@ -95,6 +99,7 @@
     tcp::socket socket;
     asio::steady_timer timer;
     std::uint64_t max_body_bytes;
+    std::uint64_t set_aside_bytes{0};
     // Target of the pending read.
     std::array<char, 8 * 1024> input{};
     net::answer_reader reader;
@@ -125,8 +130,11 @@
     void withdraw(const std::shared_ptr<upstream_connection>& self);
     void read(const std::shared_ptr<upstream_connection>& self);
     void parse(const std::shared_ptr<upstream_connection>& self);
+    void set_aside(base::byte_hold memory);
     void begin_answer();
-    void fail_answer(std::string_view detail);
+    void fail_answer(
+        std::string_view detail,
+        net::message_fault fault = net::message_fault::none);
     void handle_message(const std::shared_ptr<upstream_connection>& self);
     bool answers_another(const net::http_response& answer);
     void handle_interim(unsigned status);
@@ -145,9 +153,13 @@
 upstream_connection::upstream_connection(
     asio::io_context& context,
     base::endpoint worker_address,
-    base::byte_budget& answer_memory)
+    std::shared_ptr<base::byte_budget> answer_memory,
+    std::uint64_t max_answer_bytes)
     : state_{std::make_unique<state>(
-          context, std::move(worker_address), answer_memory)}
+          context,
+          std::move(worker_address),
+          std::move(answer_memory),
+          max_answer_bytes)}
 {
 }
 
@@ -167,6 +179,8 @@
     s.reused = s.used_before;
     s.answer_started = false;
     s.interim_answers = 0;
+    s.set_aside_bytes = s.request.answer_memory.bytes();
+    s.set_aside(std::move(s.request.answer_memory));
     s.begin_answer();
     if (!s.connected)
     {
@@ -183,6 +197,7 @@
         state_->discard_unsent();
     }
     state_->handler = nullptr;
+    state_->reader.stop();
     state_->close();
 }
 
@@ -209,7 +224,10 @@
         asio::ip::make_address(worker_address.address, failure);
     if (failure)
     {
-        report({exchange_status::not_connected, {}, false, failure.message()});
+        reader.stop();
+        report(
+            {.status = exchange_status::not_connected,
+             .detail = failure.message()});
         return;
     }
     timer.expires_after(connect_timeout);
@@ -231,11 +249,10 @@
             if (reason || s.closed)
             {
                 s.close();
+                s.reader.stop();
                 s.report(
-                    {exchange_status::not_connected,
-                     {},
-                     false,
-                     reason.message()});
+                    {.status = exchange_status::not_connected,
+                     .detail = reason.message()});
                 return;
             }
             beast::error_code ignored;
@@ -265,7 +282,11 @@
     const std::shared_ptr<upstream_connection>& self)
 {
     request.may_send = nullptr;
-    report({exchange_status::withdrawn, {}, reused, "no longer allowed there"});
+    reader.stop();
+    report(
+        {.status = exchange_status::withdrawn,
+         .reused = reused,
+         .detail = "no longer allowed there"});
     if (!closed && !handler && idle)
     {
         idle(self);
@@ -302,18 +323,34 @@
         });
 }
 
+// An answer to something else before the request's own takes none of the memory
+// that was set aside.
+void upstream_connection::state::set_aside(base::byte_hold memory)
+{
+    memory.resize(set_aside_bytes);
+    reader.set_aside(std::move(memory), request.beyond);
+}
+
 void upstream_connection::state::begin_answer()
 {
+    const auto most = request.max_answer_bytes > 0 ? request.max_answer_bytes
+                                                   : max_body_bytes;
     reader.begin(
-        {.head_bytes = max_answer_head_bytes, .body_bytes = max_body_bytes},
+        {.head_bytes = max_answer_head_bytes, .body_bytes = most},
         request.head_request);
 }
 
-void upstream_connection::state::fail_answer(std::string_view detail)
+void upstream_connection::state::fail_answer(
+    std::string_view detail, net::message_fault fault)
 {
     close();
     reader.stop();
-    report({exchange_status::invalid_answer, {}, reused, std::string{detail}});
+    report(
+        {.status = exchange_status::invalid_answer,
+         .reused = reused,
+         .detail = std::string{detail},
+         .fault = fault,
+         .bytes_read = reader.bytes_read()});
 }
 
 void upstream_connection::state::read(
@@ -373,7 +410,7 @@
             handle_message(self);
             break;
         case net::read_event::refused:
-            fail_answer(describe(reader.fault()));
+            fail_answer(describe(reader.fault()), reader.fault());
             return;
         }
     }
@@ -385,11 +422,13 @@
     auto received = reader.take();
     if (received.message.status < min_final_status)
     {
+        set_aside(std::move(received.memory));
         handle_interim(received.message.status);
         return;
     }
     if (!request.id.empty() && answers_another(received.message))
     {
+        set_aside(std::move(received.memory));
         handle_stale(received.keep_alive);
         return;
     }
@@ -460,6 +499,7 @@
          .answer = std::move(received.message),
          .reused = reused,
          .answer_bytes = std::move(received.memory),
+         .needed_memory = received.needed_memory,
          .ambiguous = reused && !request.id.empty() && !worker_sends_ids});
     if (!closed && !handler && idle)
     {
@@ -484,12 +524,13 @@
         return;
     }
     close();
+    reader.stop();
     report(
-        {answer_started ? exchange_status::invalid_answer
-                        : exchange_status::closed_early,
-         {},
-         reused,
-         failure.message()});
+        {.status = answer_started ? exchange_status::invalid_answer
+                                  : exchange_status::closed_early,
+         .reused = reused,
+         .detail = failure.message(),
+         .bytes_read = reader.bytes_read()});
 }
 
 void upstream_connection::state::report(exchange_outcome outcome)
--- a/packages/front/upstream_connection.hpp
+++ b/packages/front/upstream_connection.hpp
@@ -18,6 +18,7 @@
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
 #include "net/http_message.hpp"
+#include "net/message_parser.hpp"
 
 namespace waxwingvalve::front
 {
@@ -51,6 +52,11 @@
     std::string id{};
     // The answer has no body.
     bool head_request{};
+    // Memory that was set aside for the answer, and how more of it is taken.
+    base::byte_hold answer_memory{};
+    base::byte_claim beyond{base::byte_claim::ordinary};
+    // Most bytes of the answer's body; 0 for the connection's own limit.
+    std::uint64_t max_answer_bytes{};
     // Until then the worker may leave a long body unread.
     base::instant deadline{};
     // Asked when a new connection is open: whether the request may still be
@@ -67,8 +73,12 @@
     bool reused{};
     // Error description; empty when answered.
     std::string detail{};
-    // Memory of the answer's body.
+    // Why an invalid answer could not be read, and how much of it was.
+    net::message_fault fault{net::message_fault::none};
+    std::uint64_t bytes_read{};
+    // Memory of the answer, and what is enough to read such an answer.
     base::byte_hold answer_bytes{};
+    std::uint64_t needed_memory{};
     // The answer may belong to an earlier request on the connection: it has no
     // id, nor had any before it.
     bool ambiguous{};
@@ -95,12 +105,14 @@
     static constexpr std::size_t small_body_bytes{8 * 1024};
     static constexpr std::chrono::milliseconds connect_timeout{500};
 
-    // The body of an answer is taken from `answer_memory`; an answer for which
-    // it has no room is invalid.
+    // What an answer takes beyond the memory that was set aside for it is taken
+    // from `answer_memory`. An answer for which that has no room is invalid, as
+    // is one with a longer body than `max_answer_bytes`.
     upstream_connection(
         boost::asio::io_context& context,
         base::endpoint worker_address,
-        base::byte_budget& answer_memory);
+        std::shared_ptr<base::byte_budget> answer_memory,
+        std::uint64_t max_answer_bytes);
     ~upstream_connection();
     upstream_connection(const upstream_connection&) = delete;
     upstream_connection& operator=(const upstream_connection&) = delete;
--- a/packages/front/upstream_pool.cpp
+++ b/packages/front/upstream_pool.cpp
@@ -51,7 +51,10 @@
         candidate->abandon();
     }
     auto connection = std::make_shared<upstream_connection>(
-        context_, address, answer_memory_);
+        context_,
+        address,
+        memory_.answers_of_workers.of(worker_id),
+        memory_.most_for_answer);
     connection->on_idle([this, key](const connection_ptr& idle)
                         { idle_[key].push_back(idle); });
     return connection;
--- a/packages/front/upstream_pool.hpp
+++ b/packages/front/upstream_pool.hpp
@@ -10,6 +10,7 @@
 
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
+#include "front/body_memory.hpp"
 #include "front/upstream_connection.hpp"
 
 namespace waxwingvalve::front
@@ -27,10 +28,9 @@
     static constexpr base::duration max_idle_non_idempotent{
         std::chrono::milliseconds{1500}};
 
-    // Bodies of answers are taken from `answer_memory`.
-    upstream_pool(
-        boost::asio::io_context& context, base::byte_budget& answer_memory)
-        : context_{context}, answer_memory_{answer_memory}
+    // `memory` has to outlive the connections.
+    upstream_pool(boost::asio::io_context& context, body_memory& memory)
+        : context_{context}, memory_{memory}
     {
     }
 
@@ -59,7 +59,7 @@
         base::instant now) const;
 
     boost::asio::io_context& context_;
-    base::byte_budget& answer_memory_;
+    body_memory& memory_;
     // Ordered by last use, most recent last.
     std::map<std::string, std::vector<connection_ptr>> idle_;
 };
--- a/packages/front/worker_health.cpp
+++ b/packages/front/worker_health.cpp
@@ -14,10 +14,18 @@
 
 using steering::cold_source;
 
+namespace
+{
+
+// Nothing in the body of a health answer is read.
+constexpr std::uint64_t max_health_body_bytes = 64ULL * 1024;
+
+} // namespace
+
 worker_health::worker_health(
     serving_context& context, peer_heartbeats& heartbeats)
     : context_{context}, heartbeats_{heartbeats},
-      pool_{context.loop, context.memory.answers}, timer_{context.loop}
+      pool_{context.loop, context.memory}, timer_{context.loop}
 {
 }
 
@@ -155,6 +163,7 @@
              health_path,
              to_string(entry.address)),
          .body = std::make_shared<const std::string>(),
+         .max_answer_bytes = max_health_body_bytes,
          .deadline = now + check_timeout},
         [this, id = entry.id](const exchange_outcome& outcome)
         { end_check(id, outcome); });
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -63,6 +63,7 @@
     case message_fault::framing_too_large:
         return {result_code::request_framing_too_large};
     case message_fault::no_memory:
+    case message_fault::sender_share:
         return {result_code::overloaded};
     case message_fault::none:
     case message_fault::malformed:
--- a/packages/net/message_parser.hpp
+++ b/packages/net/message_parser.hpp
@@ -44,6 +44,8 @@
     framing_too_large,
     // The memory budget has no room for the message.
     no_memory,
+    // The sender's part of the memory budget has none.
+    sender_share,
 };
 
 template <bool is_request>
--- a/packages/net/message_reader.cpp
+++ b/packages/net/message_reader.cpp
@@ -40,6 +40,8 @@
     parser_->skip(without_body);
     head_bytes_ = 0;
     framing_bytes_ = 0;
+    bytes_read_ = 0;
+    most_memory_ = 0;
     head_reported_ = false;
     fault_ = message_fault::none;
     memory_.release();
@@ -50,6 +52,15 @@
 {
     parser_.reset();
     memory_.release();
+    set_aside_.release();
+}
+
+template <bool is_request>
+void message_reader<is_request>::set_aside(
+    base::byte_hold memory, base::byte_claim beyond)
+{
+    set_aside_ = std::move(memory);
+    memory_.set_claim(beyond);
 }
 
 template <bool is_request>
@@ -88,6 +99,15 @@
     return read_event::refused;
 }
 
+template <bool is_request>
+read_event message_reader<is_request>::refuse_for_memory()
+{
+    return refuse(
+        memory_.over_part(beyond_set_aside(most_memory_))
+            ? message_fault::sender_share
+            : message_fault::no_memory);
+}
+
 // True if the parser can be given the buffered bytes. Beast asserts that the
 // end of a chunked body, once its first line was seen, is never offered in
 // fewer bytes than the shortest one has. At least as many are always to come
@@ -106,13 +126,14 @@
     {
         if (!make_room_for_body())
         {
-            return refuse(message_fault::no_memory);
+            return refuse_for_memory();
         }
         const bool in_head = !parser_->is_header_done();
         const auto body_before = parser_->message().body.size();
         beast::error_code failure;
         const auto used = parser_->put(buffer_.data(), failure);
         buffer_.consume(used);
+        bytes_read_ += used;
         if (failure && failure != http::error::need_more)
         {
             return refuse(parser_->fault_of(failure));
@@ -134,7 +155,7 @@
         shrink_buffer();
         if (!count_memory(memory_taken(body_memory())))
         {
-            return refuse(message_fault::no_memory);
+            return refuse_for_memory();
         }
         if (parser_->is_done())
         {
@@ -164,7 +185,9 @@
     const auto& body = parser_->message().body;
     const std::uint64_t stated = parser_->content_length().value_or(0);
     // A request's length is counted as soon as it is stated.
-    const bool whole = is_request && stated > 0;
+    const bool whole =
+        stated > 0 &&
+        (is_request || beyond_set_aside(memory_taken(stated)) == 0);
     const std::uint64_t needed = whole ? stated : body.size() + buffer_.size();
     if (needed <= body.capacity() || body.size() >= limits_.body_bytes)
     {
@@ -216,12 +239,21 @@
 template <bool is_request>
 bool message_reader<is_request>::count_memory(std::uint64_t bytes)
 {
-    if (bytes < memory_.bytes())
+    most_memory_ = std::max(most_memory_, bytes);
+    const auto beyond = beyond_set_aside(bytes);
+    if (beyond < memory_.bytes())
     {
-        memory_.resize(bytes);
+        memory_.resize(beyond);
         return true;
     }
-    return memory_.try_grow(bytes);
+    return memory_.try_grow(beyond);
+}
+
+template <bool is_request>
+std::uint64_t message_reader<is_request>::beyond_set_aside(
+    std::uint64_t bytes) const
+{
+    return bytes - std::min(bytes, set_aside_.bytes());
 }
 
 template <bool is_request>
@@ -268,9 +300,19 @@
 template <bool is_request>
 received_message<is_request> message_reader<is_request>::take()
 {
+    const auto taken = memory_taken(body_memory());
+    // Memory for a stated length is taken at once where it is set aside.
+    const auto needed = parser_->content_length() ? taken : most_memory_;
+    if (set_aside_.bytes() > 0)
+    {
+        // The message no longer counts for its sender.
+        memory_.release();
+        set_aside_.resize(taken);
+    }
     received_message<is_request> received{
         .message = std::move(parser_->message()),
-        .memory = std::move(memory_),
+        .memory = std::move(set_aside_.bytes() > 0 ? set_aside_ : memory_),
+        .needed_memory = needed,
         .keep_alive = parser_->keep_alive(),
         .keep_alive_field = parser_->keep_alive_field()};
     parser_.reset();
--- a/packages/net/message_reader.hpp
+++ b/packages/net/message_reader.hpp
@@ -44,6 +44,8 @@
 {
     typename message_parser<is_request>::message_type message{};
     base::byte_hold memory{};
+    // Memory that is enough to read such a message, in bytes.
+    std::uint64_t needed_memory{};
     // The sender lets the connection carry another message.
     bool keep_alive{};
     // Value of the field Keep-Alive, which `message` does not have.
@@ -63,6 +65,10 @@
     {
     }
 
+    // Sets memory aside for the next message. What that takes beyond is taken
+    // from the reader's budget by this claim.
+    void set_aside(base::byte_hold memory, base::byte_claim beyond);
+
     // Starts to read a message; buffered bytes belong to it.
     // `without_body`: it ends with its head, whatever that says, as the answer
     // to a HEAD request does.
@@ -83,6 +89,8 @@
     // completes the message, because it states no length.
     bool end_of_input();
     message_fault fault() const { return fault_; }
+    // Bytes of the message that were read so far.
+    std::uint64_t bytes_read() const { return bytes_read_; }
 
     bool head_complete() const;
     // What has come of the message that is being read.
@@ -97,8 +105,10 @@
 
 private:
     read_event refuse(message_fault fault);
+    read_event refuse_for_memory();
     bool framing_within_limits(std::size_t used, std::size_t content);
     bool count_memory(std::uint64_t bytes);
+    std::uint64_t beyond_set_aside(std::uint64_t bytes) const;
     std::uint64_t body_memory() const;
     std::uint64_t memory_taken(std::uint64_t body) const;
     bool make_room_for_body();
@@ -110,12 +120,17 @@
     // that a request states, and what the head and the buffer take beyond
     // `uncounted_bytes`.
     base::byte_hold memory_{};
+    // Memory that is held whether or not the message takes it.
+    base::byte_hold set_aside_{};
     message_limits limits_{};
     // Engaged while a message is read.
     std::optional<message_parser<is_request>> parser_{};
     boost::beast::flat_buffer buffer_{};
     std::size_t head_bytes_{0};
     std::size_t framing_bytes_{0};
+    std::uint64_t bytes_read_{0};
+    // Most memory of the message so far, also if it was refused.
+    std::uint64_t most_memory_{0};
     bool head_reported_{false};
     message_fault fault_{message_fault::none};
 };
--- a/packages/schema/front_settings.cpp
+++ b/packages/schema/front_settings.cpp
@@ -151,6 +151,10 @@
     }
     out.body_memory_bytes = std::uint64_t{in.body_memory_mb} * bytes_per_mb;
     out.memory_bytes = std::uint64_t{in.memory_mb} * bytes_per_mb;
+    out.max_answer_bytes = std::uint64_t{in.max_answer_mb} * bytes_per_mb;
+    out.worker_answer_bytes =
+        std::uint64_t{in.worker_answers_mb} * bytes_per_mb;
+    out.caller_bytes = std::uint64_t{in.caller_mb} * bytes_per_mb;
     return base::success();
 }
 
--- a/packages/schema/front_settings.hpp
+++ b/packages/schema/front_settings.hpp
@@ -52,6 +52,12 @@
     std::uint64_t body_memory_bytes{};
     // What the process may use in all; 0 where only the system says it.
     std::uint64_t memory_bytes{};
+    // Most memory for one answer, for the answers of one worker on their way,
+    // and for the requests or the unread answers of one caller; 0 for shares
+    // of the memory for bodies.
+    std::uint64_t max_answer_bytes{};
+    std::uint64_t worker_answer_bytes{};
+    std::uint64_t caller_bytes{};
 };
 
 // Errors: settings_malformed, settings_invalid.
--- a/tests/front/fleet_fixture.cpp
+++ b/tests/front/fleet_fixture.cpp
@@ -52,7 +52,7 @@
               self,
               region_of_zone,
               static_cast<std::uint64_t>(number)},
-          pool{loop, memory.answers},
+          pool{loop, memory},
           serving{loop, test_fields(), view, pool, memory, counts},
           server{serving},
           heartbeats{loop, view}, health{serving, heartbeats}, timer{loop}
--- a/tests/front/front_fixture.cpp
+++ b/tests/front/front_fixture.cpp
@@ -250,8 +250,13 @@
     }
 }
 
-front_fixture::front_fixture()
-    : view{test_options(), make_self(), {{"addis-a", "addis"}, {"gondar-a", "gondar"}}, 1},
+front_fixture::front_fixture(const front::memory_options& options)
+    : memory{options},
+      view{
+          test_options(),
+          make_self(),
+          {{"addis-a", "addis"}, {"gondar-a", "gondar"}},
+          1},
       serving{loop, test_fields(), view, pool, memory, counts},
       server{std::make_unique<front::front_server>(serving)}
 {
--- a/tests/front/front_fixture.hpp
+++ b/tests/front/front_fixture.hpp
@@ -90,8 +90,18 @@
 {
 public:
     static constexpr std::uint64_t body_memory_bytes = 256 * 1024;
-
-    front_fixture();
+    // One answer, worker or caller may take all.
+    static front::memory_options loose_memory()
+    {
+        return {
+            .body_bytes = body_memory_bytes,
+            .answer_bytes = body_memory_bytes,
+            .worker_bytes = body_memory_bytes,
+            .caller_bytes = body_memory_bytes};
+    }
+
+    explicit front_fixture(
+        const front::memory_options& options = loose_memory());
     ~front_fixture();
 
     // Adds a worker of the service "desk" and registers it with the daemon.
@@ -116,10 +126,10 @@
     void run_for(std::chrono::milliseconds time);
 
     // Before the event loop, whose handlers hold parts of it until its end.
-    front::body_memory memory{{.body_bytes = body_memory_bytes}};
+    front::body_memory memory;
     boost::asio::io_context loop;
     front::fleet_view view;
-    front::upstream_pool pool{loop, memory.answers};
+    front::upstream_pool pool{loop, memory};
     front::request_metrics counts;
     front::serving_context serving;
     std::unique_ptr<front::front_server> server;
--- a/tests/front/upstream_connection_test.cpp
+++ b/tests/front/upstream_connection_test.cpp
@@ -21,12 +21,13 @@
 {
     asio::io_context loop{1};
     tcp::acceptor acceptor{loop, {asio::ip::address_v4::loopback(), 0}};
-    base::byte_budget memory{64 * 1024};
+    static constexpr std::uint64_t memory_bytes = 64 * 1024;
     std::shared_ptr<front::upstream_connection> connection{
         std::make_shared<front::upstream_connection>(
             loop,
             base::endpoint{"127.0.0.1", acceptor.local_endpoint().port()},
-            memory)};
+            std::make_shared<base::byte_budget>(memory_bytes),
+            memory_bytes)};
 
     void exchange()
     {
--- a/tests/schema/front_settings_test.cpp
+++ b/tests/schema/front_settings_test.cpp
@@ -36,7 +36,10 @@
   "log_level": "error",
   "worker_report_interval": "2s",
   "body_memory_mb": 40,
-  "memory_mb": 260
+  "memory_mb": 260,
+  "max_answer_mb": 4,
+  "worker_answers_mb": 5,
+  "caller_mb": 6
 })";
 
 struct bad_value
@@ -93,6 +96,9 @@
     BOOST_TEST((settings.log_level == base::log_level::error));
     BOOST_TEST(settings.body_memory_bytes == 40ULL * 1024 * 1024);
     BOOST_TEST(settings.memory_bytes == 260ULL * 1024 * 1024);
+    BOOST_TEST(settings.max_answer_bytes == 4ULL * 1024 * 1024);
+    BOOST_TEST(settings.worker_answer_bytes == 5ULL * 1024 * 1024);
+    BOOST_TEST(settings.caller_bytes == 6ULL * 1024 * 1024);
 }
 
 BOOST_DATA_TEST_CASE(bad_values_are_rejected, bad_values)
