--- a/packages/front/front_server.cpp
+++ b/packages/front/front_server.cpp
@@ -3,7 +3,10 @@
 
 #include <vector>
 
+#include "front/retry_after.hpp"
+#include "net/answers.hpp"
 #include "net/listening.hpp"
+#include "net/turn_away.hpp"
 
 namespace waxwingvalve::front
 {
@@ -53,7 +56,7 @@
                 accept_later();
                 return;
             }
-            begin_session(std::move(socket));
+            take(std::move(socket));
             accept();
         });
 }
@@ -71,6 +74,21 @@
         });
 }
 
+void front_server::take(tcp::socket socket)
+{
+    if (sessions_.size() < max_connections_)
+    {
+        begin_session(std::move(socket));
+        return;
+    }
+    ++context_.counts.connections_turned_away;
+    auto refusal = net::make_refusal(
+        {base::result_code::too_many_connections}, net::outcome::not_run);
+    set_retry_after(
+        refusal, std::to_string(context_.counts.connections_turned_away));
+    net::turn_away(std::move(socket), refusal);
+}
+
 void front_server::begin_session(tcp::socket socket)
 {
     boost::system::error_code ignored;
@@ -135,7 +153,7 @@
         acceptor_.accept(socket, failure);
         if (!failure)
         {
-            begin_session(std::move(socket));
+            take(std::move(socket));
         }
     }
 }
--- a/packages/front/front_server.hpp
+++ b/packages/front/front_server.hpp
@@ -2,6 +2,7 @@
 // stops.
 #pragma once
 
+#include <limits>
 #include <memory>
 #include <set>
 
@@ -28,6 +29,9 @@
     // Errors: address_in_use, address_unusable.
     base::result<void> listen(const base::endpoint& listen_address);
 
+    // Connections beyond this are refused.
+    void set_max_connections(std::size_t most) { max_connections_ = most; }
+
     // Sends "Connection: close" with answers from now on. New connections are
     // still accepted, because some callers know only this daemon.
     void announce_close();
@@ -46,6 +50,7 @@
     void accept();
     void accept_later();
     void accept_waiting();
+    void take(boost::asio::ip::tcp::socket socket);
     void begin_session(boost::asio::ip::tcp::socket socket);
     void check_connections();
 
@@ -54,6 +59,7 @@
     boost::asio::steady_timer sweep_timer_;
     boost::asio::steady_timer accept_timer_;
     std::set<std::shared_ptr<client_session>> sessions_;
+    std::size_t max_connections_{std::numeric_limits<std::size_t>::max()};
     bool announce_close_{false};
 };
 
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -150,6 +150,11 @@
         "requests_without_answer_memory_total",
         "Requests not sent for lack of memory for their answer.",
         counts.requests_without_answer_memory);
+    add_counter(
+        text,
+        "connections_turned_away_total",
+        "Callers' connections beyond the limit.",
+        counts.connections_turned_away);
     add_counter(
         text,
         "handlers_failed_total",
--- a/packages/front/request_metrics.hpp
+++ b/packages/front/request_metrics.hpp
@@ -57,6 +57,7 @@
     // Answers over the bounds of one answer or of their worker.
     std::uint64_t answers_oversized{};
     std::uint64_t requests_without_answer_memory{};
+    std::uint64_t connections_turned_away{};
     // Request counts by final result: "passed_on", "not_run", "unknown".
     std::map<std::string, std::uint64_t> ends{};
     latency_histogram answer_latency{};
--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <set>
-#include <sstream>
 #include <string_view>
 
 #include <boost/asio/as_tuple.hpp>
@@ -19,6 +18,7 @@
 #include "net/guarded.hpp"
 #include "net/listening.hpp"
 #include "net/message_reader.hpp"
+#include "net/turn_away.hpp"
 
 namespace waxwingvalve::net
 {
@@ -100,7 +100,6 @@
     class session;
 
     asio::awaitable<void> accept_loop();
-    void turn_away(tcp::socket socket);
 
     asio::io_context& context;
     server_limits limits;
@@ -340,20 +339,6 @@
     co_return !failure && keep_alive;
 }
 
-// Tells one caller too many so without waiting for him: a flood of
-// connections must not hold what the limit is there to bound.
-void http_server::state::turn_away(tcp::socket socket)
-{
-    auto message = to_message(
-        handlers.refuse(base::error{result_code::too_many_connections}), false);
-    std::ostringstream text;
-    text << message;
-    beast::error_code ignored;
-    socket.non_blocking(true, ignored);
-    socket.write_some(asio::buffer(text.str()), ignored);
-    socket.shutdown(tcp::socket::shutdown_send, ignored);
-}
-
 asio::awaitable<void> http_server::state::accept_loop()
 {
     while (!stopping)
@@ -371,7 +356,10 @@
         }
         if (sessions.size() >= limits.connections)
         {
-            turn_away(std::move(socket));
+            turn_away(
+                std::move(socket),
+                handlers.refuse(
+                    base::error{result_code::too_many_connections}));
             continue;
         }
         beast::error_code ignored;
--- a/packages/schema/front_settings.cpp
+++ b/packages/schema/front_settings.cpp
@@ -155,6 +155,7 @@
     out.worker_answer_bytes =
         std::uint64_t{in.worker_answers_mb} * bytes_per_mb;
     out.caller_bytes = std::uint64_t{in.caller_mb} * bytes_per_mb;
+    out.max_connections = in.max_connections;
     return base::success();
 }
 
--- a/packages/schema/front_settings.hpp
+++ b/packages/schema/front_settings.hpp
@@ -58,6 +58,8 @@
     std::uint64_t max_answer_bytes{};
     std::uint64_t worker_answer_bytes{};
     std::uint64_t caller_bytes{};
+    // Callers' connections at one time; 0 for as many as the memory allows.
+    std::uint32_t max_connections{};
 };
 
 // Errors: settings_malformed, settings_invalid.
--- a/tests/front/answer_memory_test.cpp
+++ b/tests/front/answer_memory_test.cpp
@@ -274,4 +274,25 @@
     part->give_back(caller_bytes + 1);
 }
 
+BOOST_AUTO_TEST_CASE(connections_beyond_the_limit_are_refused_at_once)
+{
+    front_fixture front;
+    front.add_worker("a", reply_success);
+    front.server->set_max_connections(2);
+    const open_caller first{front, "127.0.0.20", ""};
+    {
+        open_caller second{front, "127.0.0.20", idempotent_request("1")};
+        BOOST_TEST(contains(second.received(), "HTTP/1.1 200"));
+        open_caller third{front, "127.0.0.21", ""};
+        const auto refusal = third.received();
+        BOOST_TEST(contains(refusal, "HTTP/1.1 503"));
+        BOOST_TEST(contains(refusal, "2006"));
+        BOOST_TEST(contains(refusal, "Retry-After: "));
+        BOOST_TEST(front.counts.connections_turned_away == 1U);
+    }
+    front.run_for(50ms);
+    open_caller next{front, "127.0.0.21", idempotent_request("2")};
+    BOOST_TEST(contains(next.received(), "HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/schema/front_settings_test.cpp
+++ b/tests/schema/front_settings_test.cpp
@@ -39,7 +39,8 @@
   "memory_mb": 260,
   "max_answer_mb": 4,
   "worker_answers_mb": 5,
-  "caller_mb": 6
+  "caller_mb": 6,
+  "max_connections": 70
 })";
 
 struct bad_value
@@ -99,6 +100,7 @@
     BOOST_TEST(settings.max_answer_bytes == 4ULL * 1024 * 1024);
     BOOST_TEST(settings.worker_answer_bytes == 5ULL * 1024 * 1024);
     BOOST_TEST(settings.caller_bytes == 6ULL * 1024 * 1024);
+    BOOST_TEST(settings.max_connections == 70U);
 }
 
 BOOST_DATA_TEST_CASE(bad_values_are_rejected, bad_values)
