Net: chunks of single bytes are no longer read without end

A worker that sent chunks of one byte without end kept its caller waiting until the deadline (14 to 23 callers in 4 s) and the daemon busy: plain size lines counted for nothing, so that only the content's limit ended them, after six times its bytes.

--- a/packages/net/message_parser.hpp
+++ b/packages/net/message_parser.hpp
@@ -26,6 +26,10 @@
     // What a chunked body holds besides its content and plain size lines:
     // chunk extensions, padded sizes and the trailer, in bytes.
     std::uint32_t framing_bytes{16 * 1024};
+    // All framing of a chunked body, plain size lines too, beyond twice its
+    // content, in bytes. Chunks of single bytes pass up to a content of a
+    // third.
+    std::uint32_t short_chunk_bytes{64 * 1024};
     // Header and trailer fields together.
     std::uint32_t fields{1'000};
 };
--- a/packages/net/message_reader.cpp
+++ b/packages/net/message_reader.cpp
@@ -40,6 +40,7 @@
     parser_->skip(without_body);
     head_bytes_ = 0;
     framing_bytes_ = 0;
+    all_framing_bytes_ = 0;
     bytes_read_ = 0;
     most_memory_ = 0;
     head_reported_ = false;
@@ -228,7 +229,15 @@
     {
         return true;
     }
+    constexpr std::uint64_t framing_per_content = 2;
     const auto line = used - content;
+    all_framing_bytes_ += line;
+    if (all_framing_bytes_ >
+        limits_.short_chunk_bytes +
+            framing_per_content * parser_->message().body.size())
+    {
+        return false;
+    }
     framing_bytes_ += line > plain_line_bytes ? line : 0;
     const auto unparsed = parser_->is_done() ? 0 : buffer_.size();
     // Nothing was parsed: what is buffered is a part of a line or trailer.
--- a/packages/net/message_reader.hpp
+++ b/packages/net/message_reader.hpp
@@ -128,6 +128,8 @@
     boost::beast::flat_buffer buffer_{};
     std::size_t head_bytes_{0};
     std::size_t framing_bytes_{0};
+    // With plain size lines, too.
+    std::uint64_t all_framing_bytes_{0};
     std::uint64_t bytes_read_{0};
     // Most memory of the message so far, also if it was refused.
     std::uint64_t most_memory_{0};
--- a/tests/net/message_reader_test.cpp
+++ b/tests/net/message_reader_test.cpp
@@ -22,6 +22,7 @@
     .head_bytes = 4 * 1024,
     .body_bytes = 64 * 1024,
     .framing_bytes = 2 * 1024,
+    .short_chunk_bytes = 1024,
     .fields = 100};
 
 constexpr std::string_view chunked_answer_head =
@@ -140,6 +141,11 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
         "8\r\nabcdefgh\r\n",
         message_fault::body_too_large},
+    endless_input{
+        "chunks of one byte",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "1\r\nx\r\n1\r\ny\r\n",
+        message_fault::framing_too_large},
     endless_input{
         "a body without length",
         "HTTP/1.1 200 OK\r\n\r\n",
@@ -215,6 +221,22 @@
     BOOST_TEST(reader.buffered() <= bound);
 }
 
+// A sender that sends each byte by itself.
+BOOST_AUTO_TEST_CASE(short_bodies_may_come_in_chunks_of_one_byte)
+{
+    constexpr int content = 20'000;
+    std::string bytes{chunked_answer_head};
+    for (int i = 0; i < content; ++i)
+    {
+        bytes += "1\r\nx\r\n";
+    }
+    net::answer_reader reader;
+    reader.begin({});
+    BOOST_REQUIRE(
+        (feed(reader, bytes + "0\r\n\r\n", 8'192) == read_event::message));
+    BOOST_TEST(reader.take().message.body.size() == 20'000U);
+}
+
 // Guards against the end of the process by a long field in a trailer, for which
 // Beast's container of fields throws.
 BOOST_AUTO_TEST_CASE(a_trailer_over_the_limit_is_refused)
