--- a/packages/base/memory_limit.cpp
+++ b/packages/base/memory_limit.cpp
@@ -18,7 +18,7 @@
 {
 
 // Blocks from this size on are mapped by themselves, and unmapped when freed.
-constexpr int own_mapping_bytes = 256 * 1024;
+constexpr int own_mapping_bytes = 1024 * 1024;
 // Free memory at the end of the heap beyond this is given back.
 constexpr int kept_heap_bytes = 1024 * 1024;
 
--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -400,7 +400,10 @@
     for (const auto& out : output_in_flight_)
     {
         buffers.push_back(asio::buffer(out.head));
-        buffers.push_back(asio::buffer(out.body));
+        if (!out.body.empty())
+        {
+            buffers.push_back(asio::buffer(out.body));
+        }
     }
     asio::async_write(
         socket_,
--- a/tests/platform/daemon_memory_test.cpp
+++ b/tests/platform/daemon_memory_test.cpp
@@ -48,9 +48,8 @@
     fault)
 {
     memory_scene scene{
-        fault,
-        fault == endless_answer::none ? 0 : 2,
-        memory_scene::limited_by::supervisor};
+        {.fault = fault,
+         .faulty_workers = fault == endless_answer::none ? 0 : 2}};
     scene.play(4s, 24, 0);
     scene.check_promises();
     scene.check_served();
@@ -61,7 +60,9 @@
 BOOST_AUTO_TEST_CASE(a_limit_of_the_kernel_is_kept)
 {
     memory_scene scene{
-        endless_answer::chunks, 2, memory_scene::limited_by::kernel};
+        {.fault = endless_answer::chunks,
+         .faulty_workers = 2,
+         .limit = limited_by::kernel}};
     scene.play(4s, 24, 8);
     scene.check_promises();
     scene.check_served();
@@ -71,8 +72,7 @@
 // its memory.
 BOOST_AUTO_TEST_CASE(large_uploads_leave_the_daemon_and_other_requests_alone)
 {
-    memory_scene scene{
-        endless_answer::none, 0, memory_scene::limited_by::supervisor};
+    memory_scene scene{{}};
     scene.play(4s, 24, 16);
     scene.check_promises();
     scene.check_served();
--- a/tests/platform/daemon_process.cpp
+++ b/tests/platform/daemon_process.cpp
@@ -51,7 +51,7 @@
 "seeds": ["{}:{}"], "zones": [{{"zone": "addis-a", "region": "addis"}}],
 "store_address": "{}", "lookup_lifetime": "1s", "stop_time": "4s",
 "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 100,
-"memory_mb": {}, "log_level": "info"}})",
+{}"log_level": "info"}})",
         number,
         at(daemon_port::callers),
         at(daemon_port::readiness),
@@ -61,7 +61,7 @@
         own_host(std::max(number - 1, 0)),
         static_cast<int>(daemon_port::control),
         to_string(store),
-        memory_mb);
+        memory_mb > 0 ? fmt::format(R"("memory_mb": {}, )", memory_mb) : "");
 }
 
 } // namespace
@@ -99,6 +99,11 @@
         << settings_of(number_, address, store_.address(), memory_mb_);
 }
 
+void daemon_process::set_program(std::filesystem::path program)
+{
+    program_ = std::move(program);
+}
+
 void daemon_process::set_memory_mb(int mb)
 {
     memory_mb_ = mb;
@@ -115,7 +120,7 @@
     namespace bp = boost::process;
     std::FILE* out = std::fopen((folder_ / "log").c_str(), "a");
     child_ = bp::child{
-        WAXWINGVALVE_PLATFORM_DAEMON,
+        program_.string(),
         bp::args({"--settings", settings_path().string()}),
         bp::std_in<bp::null, bp::std_out> out,
         bp::std_err > out,
--- a/tests/platform/daemon_process.hpp
+++ b/tests/platform/daemon_process.hpp
@@ -46,6 +46,9 @@
     // daemon.
     void write_settings(const std::string& address) const;
     std::filesystem::path settings_path() const;
+    // Another build of the daemon is started from now on.
+    void set_program(std::filesystem::path program);
+    int id() const { return child_.id(); }
     // Settings say from now on that the process may use this.
     void set_memory_mb(int mb);
     // The kernel gives processes started from now on no more address space.
@@ -77,6 +80,7 @@
     int number_;
     std::string host_;
     std::filesystem::path folder_;
+    std::filesystem::path program_{WAXWINGVALVE_PLATFORM_DAEMON};
     // Not in the settings if it is 0.
     int memory_mb_{0};
     std::optional<std::uint64_t> memory_limit_;
--- a/tests/platform/memory_scene.cpp
+++ b/tests/platform/memory_scene.cpp
@@ -36,7 +36,6 @@
 constexpr int spoiled_every = 10;
 constexpr std::size_t block_bytes = 64 * 1024;
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
-constexpr std::size_t sound_body_bytes = 3'000;
 constexpr std::chrono::milliseconds start_limit{2'500};
 constexpr std::chrono::milliseconds call_pause{5};
 constexpr std::chrono::milliseconds supervision_interval{5};
@@ -137,9 +136,8 @@
 
 } // namespace
 
-memory_scene::memory_scene(
-    endless_answer fault, int faulty_workers, limited_by limit)
-    : fault_{fault}
+memory_scene::memory_scene(const memory_scene_options& options)
+    : options_{options}
 {
     store_.put("op", "config", configuration());
     for (int i = 0; i < worker_count; ++i)
@@ -150,10 +148,10 @@
         store_.put("servers", fmt::format("w{}", i), worker_entry(host));
         asio::co_spawn(
             loop_,
-            accept(*acceptors_.back(), i < faulty_workers),
+            accept(*acceptors_.back(), i < options.faulty_workers),
             asio::detached);
     }
-    if (limit == limited_by::kernel)
+    if (options.limit == limited_by::kernel)
     {
         daemon_.limit_memory(memory_bytes);
     }
@@ -161,10 +159,14 @@
     {
         daemon_.set_memory_mb(memory_bytes / bytes_per_mb);
     }
+    if (!options.program.empty())
+    {
+        daemon_.set_program(options.program);
+    }
     daemon_.start();
     BOOST_REQUIRE(
         daemon_.wait_until(start_limit, [this] { return daemon_.ready(); }));
-    if (limit == limited_by::supervisor && supervises)
+    if (options.limit == limited_by::supervisor && supervises)
     {
         asio::co_spawn(loop_, supervise(), asio::detached);
     }
@@ -239,8 +241,8 @@
             id_field,
             id,
             signature_line,
-            sound_body_bytes,
-            std::string(sound_body_bytes, 's'));
+            options_.body_bytes,
+            std::string(options_.body_bytes, 's'));
         co_await asio::async_write(socket, asio::buffer(answer), use_tuple);
     }
 }
@@ -248,7 +250,7 @@
 asio::awaitable<void> memory_scene::answer_without_end(
     tcp::socket& socket, const std::string& id)
 {
-    const auto bytes = make_endless(fault_, id);
+    const auto bytes = make_endless(options_.fault, id);
     error_code failure;
     std::tie(failure, std::ignore) =
         co_await asio::async_write(socket, asio::buffer(bytes.head), use_tuple);
--- a/tests/platform/memory_scene.hpp
+++ b/tests/platform/memory_scene.hpp
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
@@ -46,6 +48,27 @@
     base::duration took{};
 };
 
+// Who keeps the process within its memory.
+enum class limited_by : std::uint8_t
+{
+    // Allocation fails beyond the limit.
+    kernel,
+    // The process is killed beyond it, as on the users' machines.
+    supervisor,
+};
+
+struct memory_scene_options
+{
+    // The first `faulty_workers` of six spoil each tenth request.
+    endless_answer fault{endless_answer::none};
+    int faulty_workers{0};
+    // Of a sound answer.
+    std::size_t body_bytes{3'000};
+    limited_by limit{limited_by::supervisor};
+    // The daemon of this build if it is empty.
+    std::filesystem::path program{};
+};
+
 class memory_scene
 {
 public:
@@ -55,17 +78,7 @@
     static constexpr std::chrono::milliseconds deadline{4'000};
     static constexpr std::size_t upload_bytes = 60'000'000;
 
-    // Who keeps the process within its memory.
-    enum class limited_by : std::uint8_t
-    {
-        // Allocation fails beyond the limit.
-        kernel,
-        // The process is killed beyond it, as on the users' machines.
-        supervisor,
-    };
-
-    // The first `faulty_workers` of six spoil each tenth request.
-    memory_scene(endless_answer fault, int faulty_workers, limited_by limit);
+    explicit memory_scene(const memory_scene_options& options);
 
     // Callers of small requests, half of them not idempotent, and of uploads,
     // for `time`; then waits until all requests have ended.
@@ -99,7 +112,7 @@
     std::string next_id();
 
     boost::asio::io_context loop_;
-    endless_answer fault_;
+    memory_scene_options options_;
     fake_store store_{loop_};
     std::vector<std::unique_ptr<tcp::acceptor>> acceptors_;
     daemon_process daemon_{loop_, store_, 0};
