--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -30,7 +30,6 @@
 constexpr unsigned status_switching_protocols = 101;
 // Interim answers (1xx) come before the answer and are not passed on.
 constexpr int max_interim_answers = 8;
-constexpr message_limits answer_limits{.body_bytes = 8ULL * 1024 * 1024};
 
 http::request<http::string_body> to_message(const http_request& request)
 {
@@ -73,11 +72,15 @@
 
 struct http_connection::state
 {
-    explicit state(const asio::any_io_executor& executor) : stream{executor} {}
+    state(const asio::any_io_executor& executor, std::uint64_t max_body_bytes)
+        : limits{.body_bytes = max_body_bytes}, stream{executor}
+    {
+    }
 
     asio::awaitable<base::result<received_message<false>>> receive(
         bool without_body);
 
+    message_limits limits;
     beast::tcp_stream stream;
     std::array<char, 8 * 1024> input{};
     answer_reader reader{};
@@ -85,8 +88,9 @@
     bool usable{false};
 };
 
-http_connection::http_connection(const asio::any_io_executor& executor)
-    : state_{std::make_unique<state>(executor)}
+http_connection::http_connection(
+    const asio::any_io_executor& executor, std::uint64_t max_body_bytes)
+    : state_{std::make_unique<state>(executor, max_body_bytes)}
 {
 }
 
@@ -170,7 +174,7 @@
 asio::awaitable<base::result<received_message<false>>>
 http_connection::state::receive(bool without_body)
 {
-    reader.begin(answer_limits, without_body);
+    reader.begin(limits, without_body);
     for (;;)
     {
         const auto event = reader.next();
@@ -226,9 +230,13 @@
 }
 
 asio::awaitable<exchange_result> fetch(
-    base::endpoint where, http_request request, base::instant deadline)
+    base::endpoint where,
+    http_request request,
+    base::instant deadline,
+    std::uint64_t max_body_bytes)
 {
-    http_connection connection{co_await asio::this_coro::executor};
+    http_connection connection{
+        co_await asio::this_coro::executor, max_body_bytes};
     auto connected = co_await connection.connect(where, deadline);
     if (!connected)
     {
--- a/packages/net/http_client.hpp
+++ b/packages/net/http_client.hpp
@@ -31,6 +31,9 @@
     exchange_progress progress{exchange_progress::nothing_sent};
 };
 
+// Most bytes of an answer's body where nothing else is said.
+constexpr std::uint64_t default_answer_bytes = 8ULL * 1024 * 1024;
+
 using exchange_result =
     boost::outcome_v2::checked<http_response, exchange_failure>;
 
@@ -39,7 +42,10 @@
 class http_connection
 {
 public:
-    explicit http_connection(const boost::asio::any_io_executor& executor);
+    // An answer with a longer body is refused.
+    explicit http_connection(
+        const boost::asio::any_io_executor& executor,
+        std::uint64_t max_body_bytes = default_answer_bytes);
     ~http_connection();
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
@@ -67,7 +73,10 @@
 
 // One request on a connection of its own.
 boost::asio::awaitable<exchange_result> fetch(
-    base::endpoint where, http_request request, base::instant deadline);
+    base::endpoint where,
+    http_request request,
+    base::instant deadline,
+    std::uint64_t max_body_bytes = default_answer_bytes);
 
 // The same for a program without an io_context; blocks.
 exchange_result fetch_blocking(
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -3,9 +3,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
+#include <sys/resource.h>
+
 #include "platform/store_client.hpp"
 
 using namespace waxwingvalve;
@@ -39,6 +42,13 @@
     R"({"rows":[{"key":7,"schema_version":3}],"schema_version":3})",
     R"({"rows":[{"key":"k","schema_version":1e30}],"schema_version":3})"};
 
+std::uint64_t most_resident_bytes()
+{
+    rusage used{};
+    ::getrusage(RUSAGE_SELF, &used);
+    return static_cast<std::uint64_t>(used.ru_maxrss) * 1024;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(store_clients)
@@ -53,6 +63,23 @@
     BOOST_TEST(rows.value().rows.front().value.empty());
 }
 
+// FAULT: 4 MB of numbers, as much as an answer of the store or of another
+// daemon may have, took a daemon of 260 MB over its memory.
+BOOST_AUTO_TEST_CASE(rows_take_a_bounded_multiple_of_their_text)
+{
+    std::string text{R"({"rows":[0)"};
+    while (text.size() < platform::max_rows_bytes)
+    {
+        text += ",0";
+    }
+    text += "]}";
+    const auto before = most_resident_bytes();
+    BOOST_TEST(!platform::parse_rows(text).has_value());
+    // What such a daemon has beside bodies and connections.
+    constexpr std::uint64_t rest_bytes = 65ULL * 1024 * 1024;
+    BOOST_TEST(most_resident_bytes() - before <= rest_bytes);
+}
+
 BOOST_AUTO_TEST_CASE(a_value_is_decoded)
 {
     for (const auto& [base64, text] :
