Log: a line is cut at 4 KiB

Lines hold names that callers send, up to the limit on heads; 4,096 of them wait while nobody reads the log: 64 MB. By reading; no test of its own.

--- a/packages/base/log.cpp
+++ b/packages/base/log.cpp
@@ -21,6 +21,8 @@
 {
 
 constexpr std::size_t ring_lines = 4096;
+// A longer line is cut: names in it come from outside.
+constexpr std::size_t max_line_bytes = 4 * 1024;
 // The writer sleeps this long when every ring is empty: long enough to cost
 // nothing, short enough that an operator who tails the log sees no lag.
 constexpr std::chrono::milliseconds idle_wait{5};
@@ -223,6 +225,11 @@
         name(level),
         name(channel),
         std::move(line).take());
+    if (text.size() > max_line_bytes)
+    {
+        text.resize(max_line_bytes);
+        text += "...\n";
+    }
     if (!state().writer_lives.load(std::memory_order_relaxed))
     {
         put(text);
