Net, platform: a caller that is turned away gets its answer

From the review: the close of a connection with unread bytes resets it, and the caller saw no 503. What has come is read first.

--- a/packages/net/turn_away.cpp
+++ b/packages/net/turn_away.cpp
@@ -1,5 +1,6 @@
 #include "net/turn_away.hpp"
 
+#include <array>
 #include <string>
 
 #include <boost/asio/buffer.hpp>
@@ -12,6 +13,13 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
+namespace
+{
+
+constexpr int max_unread_reads = 4;
+
+} // namespace
+
 void turn_away(asio::ip::tcp::socket socket, const http_response& refusal)
 {
     auto text = fmt::format(
@@ -30,6 +38,14 @@
     boost::system::error_code ignored;
     socket.non_blocking(true, ignored);
     socket.write_some(asio::buffer(text), ignored);
+    // Bytes that are unread at the close would reset the connection before the
+    // caller has its answer.
+    std::array<char, 4 * 1024> unread{};
+    boost::system::error_code ended;
+    for (int i = 0; i < max_unread_reads && !ended; ++i)
+    {
+        socket.read_some(asio::buffer(unread), ended);
+    }
     socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
