Front: an idle connection to a worker keeps no request

A connection that had carried an upload kept it while it was idle, up to 4 s or what the worker's Keep-Alive says, though its memory was given back to the budget and taken by the next one: waves of uploads over several workers passed any limit. answer_memory/an_idle_connection_keeps_no_request.

--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -146,6 +146,7 @@
         const std::shared_ptr<upstream_connection>& self,
         const beast::error_code& failure);
     void report(exchange_outcome outcome);
+    void drop_request();
     void discard_unsent();
     void close();
 };
@@ -199,6 +200,7 @@
     state_->handler = nullptr;
     state_->reader.stop();
     state_->close();
+    state_->drop_request();
 }
 
 bool upstream_connection::usable() const
@@ -320,6 +322,10 @@
             // Errors are handled by the read, which also delivers an answer
             // that the worker may have sent before it closed.
             self->state_->sending = false;
+            if (!self->state_->handler)
+            {
+                self->state_->drop_request();
+            }
         });
 }
 
@@ -540,9 +546,20 @@
         return;
     }
     const auto callback = std::exchange(handler, nullptr);
+    drop_request();
     callback(std::move(outcome));
 }
 
+// A connection that is kept does not keep what it has sent. While a write is
+// pending, which the end of the connection cancels, its bytes stay.
+void upstream_connection::state::drop_request()
+{
+    if (!sending)
+    {
+        request = {};
+    }
+}
+
 // A close sends a reset. Otherwise the kernel goes on sending the request after
 // it has been given up, and a worker that was out of reach runs it much later.
 void upstream_connection::state::discard_unsent()
