--- a/packages/base/budget_parts.cpp
+++ b/packages/base/budget_parts.cpp
@@ -8,6 +8,7 @@
     part(budget_parts& all, std::string part_name)
         : budget{all.limit_, all.whole_}, owner{all}, name{std::move(part_name)}
     {
+        budget.keep_back(all.kept_);
     }
     ~part() { owner.parts_.erase(name); }
     part(const part&) = delete;
--- a/packages/base/budget_parts.hpp
+++ b/packages/base/budget_parts.hpp
@@ -20,8 +20,12 @@
 {
 public:
     // `whole` has to outlive the parts, and this the parts' users.
-    budget_parts(byte_budget& whole, std::uint64_t limit_of_each)
-        : whole_{whole}, limit_{limit_of_each}
+    // Each keeps `kept_in_each` bytes back from ordinary claims.
+    budget_parts(
+        byte_budget& whole,
+        std::uint64_t limit_of_each,
+        std::uint64_t kept_in_each = 0)
+        : whole_{whole}, limit_{limit_of_each}, kept_{kept_in_each}
     {
     }
     budget_parts(const budget_parts&) = delete;
@@ -38,6 +42,7 @@
 
     byte_budget& whole_;
     std::uint64_t limit_;
+    std::uint64_t kept_;
     // Invariant: none has expired.
     std::map<std::string, std::weak_ptr<part>> parts_;
 };
--- a/packages/base/byte_budget.cpp
+++ b/packages/base/byte_budget.cpp
@@ -46,14 +46,24 @@
     if (this != &other)
     {
         release();
-        owner_ = other.owner_;
-        budget_ = other.budget_;
+        owner_ = std::move(other.owner_);
+        budget_ = std::exchange(other.budget_, nullptr);
         bytes_ = std::exchange(other.bytes_, 0);
         claim_ = other.claim_;
     }
     return *this;
 }
 
+byte_hold byte_hold::take_all()
+{
+    byte_hold all;
+    all.owner_ = owner_;
+    all.budget_ = budget_;
+    all.bytes_ = std::exchange(bytes_, 0);
+    all.claim_ = claim_;
+    return all;
+}
+
 bool byte_hold::try_grow(std::uint64_t bytes)
 {
     if (budget_ == nullptr || bytes <= bytes_)
@@ -79,6 +89,15 @@
     bytes_ = bytes;
 }
 
+std::optional<std::uint64_t> byte_hold::part_limit() const
+{
+    if (budget_ == nullptr || budget_->whole() == nullptr)
+    {
+        return std::nullopt;
+    }
+    return budget_->limit();
+}
+
 bool byte_hold::over_part(std::uint64_t bytes) const
 {
     return budget_ != nullptr && budget_->whole() != nullptr &&
--- a/packages/base/byte_budget.hpp
+++ b/packages/base/byte_budget.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace waxwingvalve::base
@@ -77,9 +78,9 @@
     {
     }
     ~byte_hold() { release(); }
-    // The other one stays a hold of the same budget, without bytes.
     byte_hold(byte_hold&& other) noexcept
-        : owner_{other.owner_}, budget_{other.budget_},
+        : owner_{std::move(other.owner_)}, budget_{std::exchange(
+                                               other.budget_, nullptr)},
           bytes_{std::exchange(other.bytes_, 0)}, claim_{other.claim_}
     {
     }
@@ -89,6 +90,8 @@
 
     // Grows to `bytes`, or returns false and stays as it is. Never shrinks.
     bool try_grow(std::uint64_t bytes);
+    // A hold of all bytes; this one stays a hold of the same budget.
+    byte_hold take_all();
     // Sets the size even beyond the budget's limit.
     void resize(std::uint64_t bytes);
     void release() { resize(0); }
@@ -98,6 +101,8 @@
     // The budget is a part of another one, and its own limit has no room for
     // growth to `bytes`.
     bool over_part(std::uint64_t bytes) const;
+    // The limit of the budget if it is a part of another one.
+    std::optional<std::uint64_t> part_limit() const;
 
 private:
     std::shared_ptr<byte_budget> owner_{};
--- a/packages/front/body_memory.cpp
+++ b/packages/front/body_memory.cpp
@@ -35,8 +35,10 @@
       requests{options.body_bytes / 2}, answers{options.body_bytes / 2},
       answers_of_workers{
           answers,
+          set_or_share(options.worker_bytes, options.body_bytes / worker_parts),
           set_or_share(
-              options.worker_bytes, options.body_bytes / worker_parts)},
+              options.worker_bytes, options.body_bytes / worker_parts) /
+              kept_parts},
       requests_of_callers{
           requests,
           set_or_share(
--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -29,8 +29,8 @@
 // Limit on buffered bytes of requests behind a full pipeline.
 constexpr std::size_t max_read_ahead_bytes = 16 * 1024;
 
-// Unread answers on a connection beyond which no further request of it starts
-// before the one in front of it has been answered.
+// Unread answers on a connection beyond which no further request of it is read,
+// nor started before the one in front of it has been answered.
 constexpr std::uint64_t max_unread_bytes = 1024 * 1024;
 // A body up to this size is sent in one piece with its head.
 constexpr std::size_t joined_body_bytes = 8 * 1024;
@@ -95,7 +95,7 @@
 
 bool client_session::may_read_more() const
 {
-    return !closed_ && !reading_ &&
+    return !closed_ && !reading_ && unread_bytes() <= max_unread_bytes &&
            (reader_.buffered() < max_read_ahead_bytes || reader_.reading());
 }
 
@@ -138,6 +138,16 @@
     read();
 }
 
+// Reading and parsing stop while the caller leaves too much unread.
+void client_session::resume_input()
+{
+    if (!input_ended_ && reader_.buffered() > 0)
+    {
+        process_input();
+    }
+    read();
+}
+
 void client_session::process_input()
 {
     if (input_ended_)
@@ -147,6 +157,7 @@
         return;
     }
     while (!input_ended_ && reader_.buffered() > 0 &&
+           unread_bytes() <= max_unread_bytes &&
            pending_.size() < max_open_requests && parse_request())
     {
     }
@@ -157,8 +168,10 @@
 void client_session::begin_request()
 {
     const auto& limits = context_.view.configuration().limits;
+    // What never fits is refused as too large, and not for now.
     reader_.begin(
-        {.head_bytes = limits.head_bytes, .body_bytes = limits.body_bytes});
+        {.head_bytes = limits.head_bytes,
+         .body_bytes = std::min(limits.body_bytes, request_memory_->limit())});
     request_started_at_ = base::monotonic_clock::now();
 }
 
@@ -193,6 +206,7 @@
     if (reader_.continue_expected() && reader_.buffered() == 0)
     {
         output_.push_back({.head = "HTTP/1.1 100 Continue\r\n\r\n"});
+        output_bytes_ += output_.back().head.size();
         write();
     }
 }
@@ -261,7 +275,8 @@
         {
             continue;
         }
-        if (i > 0 && (!pending->flow->repeatable() || too_much_unread()))
+        const bool too_much_unread = unread_bytes() > max_unread_bytes;
+        if (i > 0 && (!pending->flow->repeatable() || too_much_unread))
         {
             return;
         }
@@ -284,7 +299,7 @@
     {
         if (const auto answered = request.lock())
         {
-            answered->answer_bytes.resize(answer.body.capacity());
+            answered->answer_bytes.resize(net::memory_of(answer));
             answered->answer = std::move(answer);
         }
         if (const auto self = session.lock())
@@ -296,21 +311,14 @@
     };
 }
 
-bool client_session::too_much_unread() const
+std::uint64_t client_session::unread_bytes() const
 {
-    std::uint64_t bytes = 0;
+    std::uint64_t bytes = output_bytes_;
     for (const auto& pending : pending_)
     {
         bytes += pending->answer_bytes.bytes();
     }
-    for (const auto* queue : {&output_, &output_in_flight_})
-    {
-        for (const auto& out : *queue)
-        {
-            bytes += out.memory.bytes();
-        }
-    }
-    return bytes > max_unread_bytes;
+    return bytes;
 }
 
 void client_session::handle_answer()
@@ -363,11 +371,7 @@
     }
     idle_since_ = base::monotonic_clock::now();
     write();
-    if (!input_ended_ && reader_.buffered() > 0)
-    {
-        process_input();
-    }
-    read();
+    resume_input();
 }
 
 void client_session::queue_answer(pending_request& answered, bool close)
@@ -379,12 +383,13 @@
     if (answered.head_request || answer.body.size() <= joined_body_bytes)
     {
         out.head += answered.head_request ? std::string_view{} : answer.body;
-        out.memory.resize(out.head.capacity());
     }
     else
     {
         out.body = std::move(answer.body);
     }
+    out.memory.resize(out.head.capacity() + out.body.capacity());
+    output_bytes_ += out.head.size() + out.body.size();
     output_.push_back(std::move(out));
 }
 
@@ -411,6 +416,10 @@
         [self =
              shared_from_this()](const beast::error_code& failure, std::size_t)
         {
+            for (const auto& out : self->output_in_flight_)
+            {
+                self->output_bytes_ -= out.head.size() + out.body.size();
+            }
             self->output_in_flight_.clear();
             self->write_started_at_.reset();
             if (self->closed_)
@@ -422,15 +431,13 @@
                 self->handle_disconnect(failure.message());
                 return;
             }
-            if (!self->output_.empty())
-            {
-                self->write();
-                return;
-            }
-            if (self->close_after_write_)
+            if (self->output_.empty() && self->close_after_write_)
             {
                 self->linger(base::monotonic_clock::now());
+                return;
             }
+            self->write();
+            self->resume_input();
         });
 }
 
--- a/packages/front/client_session.hpp
+++ b/packages/front/client_session.hpp
@@ -91,6 +91,7 @@
     void read();
     void handle_input(std::size_t size);
     void process_input();
+    void resume_input();
     bool parse_request();
     void queue_request();
     void begin_request();
@@ -99,8 +100,8 @@
     void queue_answer(pending_request& answered, bool close);
     void start_pending();
     request_flow::responder responder_to(const pending_ptr& pending);
-    // Answers that wait to be read take as much as they may.
-    bool too_much_unread() const;
+    // Bytes of answers that the caller has not taken yet.
+    std::uint64_t unread_bytes() const;
     void handle_answer();
     void send_finished_answers();
     void write();
@@ -126,6 +127,8 @@
     std::deque<pending_ptr> pending_;
     std::vector<outgoing> output_;
     std::vector<outgoing> output_in_flight_;
+    // Of both.
+    std::uint64_t output_bytes_{0};
     base::instant idle_since_;
     // When parsing of the current, incomplete request began.
     std::optional<base::instant> request_started_at_;
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -269,6 +269,24 @@
         "answer");
 }
 
+bool fleet_view::may_leave_out(
+    const steering::worker& worker, base::instant now) const
+{
+    std::size_t all = 0;
+    std::size_t others = 0;
+    for (const auto& [zone, workers] :
+         workers_.of_service(worker.entry().service))
+    {
+        for (const auto& one : workers)
+        {
+            ++all;
+            const bool asked = !one->backoff().active(now);
+            others += one.get() != &worker && asked ? 1 : 0;
+        }
+    }
+    return 2 * others >= all;
+}
+
 void fleet_view::record_outcome(
     steering::worker& worker, bool failed, base::instant now)
 {
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -194,6 +194,10 @@
     // takes requests again; if they limit their rate, the next turn.
     base::duration return_after(std::string_view service, base::instant now);
 
+    // Whether at least half of the worker's service still gets requests from
+    // this daemon if it doesn't.
+    bool may_leave_out(const steering::worker& worker, base::instant now) const;
+
     // Records whether the worker answered a request or failed it.
     void record_outcome(
         steering::worker& worker, bool failed, base::instant now);
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -160,6 +160,7 @@
     if (!is_success(answer.status))
     {
         last_answer_ = std::move(answer);
+        last_answer_bytes_ = std::move(answer_bytes_);
     }
     const bool server_failed =
         !last_answer_ || last_answer_->status >= status_server_error;
@@ -247,8 +248,8 @@
     using steering::oversized_answers;
     const auto now = base::monotonic_clock::now();
     ++context_.counts.answers_oversized;
-    const bool left_out = worker.oversized().record(now);
-    if (left_out)
+    const bool again = worker.oversized().record(now);
+    if (again && context_.view.may_leave_out(worker, now))
     {
         worker.backoff().begin(oversized_answers::exclusion, now);
     }
@@ -306,6 +307,7 @@
     log_end(end, answer.status);
     // The caller's connection counts the answer from here on.
     answer_bytes_.release();
+    last_answer_bytes_.release();
     if (!caller_gone_ && respond_)
     {
         respond_(std::move(answer));
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -143,6 +143,7 @@
     std::optional<base::error> refusal_reason_{};
     // Unsuccessful answer of a worker, passed on if no retry succeeds.
     std::optional<net::http_response> last_answer_;
+    base::byte_hold last_answer_bytes_;
     // Set aside for the answer of the next attempt.
     base::byte_hold set_aside_;
     // Memory of the newest answer.
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -143,7 +143,7 @@
     add_counter(
         text,
         "answers_oversized_total",
-        "Answers over the bounds of one answer or of their worker.",
+        "Answers over the bounds of one answer.",
         counts.answers_oversized);
     add_counter(
         text,
--- a/packages/front/request_metrics.hpp
+++ b/packages/front/request_metrics.hpp
@@ -54,7 +54,7 @@
     std::uint64_t health_answers{};
     std::uint64_t requests_unreadable{};
     std::uint64_t answers_unreadable{};
-    // Answers over the bounds of one answer or of their worker.
+    // Answers over the bounds of one answer.
     std::uint64_t answers_oversized{};
     std::uint64_t requests_without_answer_memory{};
     std::uint64_t connections_turned_away{};
--- a/packages/net/http_message.cpp
+++ b/packages/net/http_message.cpp
@@ -54,6 +54,17 @@
 
 } // namespace
 
+std::size_t memory_of(const http_response& answer)
+{
+    auto bytes = answer.body.capacity() +
+                 answer.fields.capacity() * sizeof(header_field);
+    for (const auto& [name, value] : answer.fields)
+    {
+        bytes += name.capacity() + value.capacity();
+    }
+    return bytes;
+}
+
 std::optional<std::string_view> find_field(
     std::span<const header_field> fields, std::string_view name)
 {
--- a/packages/net/http_message.hpp
+++ b/packages/net/http_message.hpp
@@ -37,6 +37,9 @@
     std::string body{};
 };
 
+// The memory that the answer takes, in bytes.
+std::size_t memory_of(const http_response& answer);
+
 // The value of the first field of this name, compared without case.
 std::optional<std::string_view> find_field(
     std::span<const header_field> fields, std::string_view name);
--- a/packages/net/message_reader.cpp
+++ b/packages/net/message_reader.cpp
@@ -103,10 +103,19 @@
 template <bool is_request>
 read_event message_reader<is_request>::refuse_for_memory()
 {
+    const auto needed = beyond_set_aside(most_memory_);
+    // Of an answer, which is not asked for again, half of its worker's part is
+    // too much. A request that is smaller than its caller's part may come
+    // again.
+    constexpr std::uint64_t parts = is_request ? 1 : 2;
+    const auto part = memory_.part_limit();
+    if (part && needed > *part / parts)
+    {
+        return refuse(message_fault::body_too_large);
+    }
     return refuse(
-        memory_.over_part(beyond_set_aside(most_memory_))
-            ? message_fault::sender_share
-            : message_fault::no_memory);
+        memory_.over_part(needed) ? message_fault::sender_share
+                                  : message_fault::no_memory);
 }
 
 // True if the parser can be given the buffered bytes. Beast asserts that the
@@ -320,7 +329,8 @@
     }
     received_message<is_request> received{
         .message = std::move(parser_->message()),
-        .memory = std::move(set_aside_.bytes() > 0 ? set_aside_ : memory_),
+        .memory =
+            set_aside_.bytes() > 0 ? std::move(set_aside_) : memory_.take_all(),
         .needed_memory = needed,
         .keep_alive = parser_->keep_alive(),
         .keep_alive_field = parser_->keep_alive_field()};
