--- a/tests/platform/daemon_memory_test.cpp
+++ b/tests/platform/daemon_memory_test.cpp
@@ -48,9 +48,8 @@
     fault)
 {
     memory_scene scene{
-        fault,
-        fault == endless_answer::none ? 0 : 2,
-        memory_scene::limited_by::supervisor};
+        {.fault = fault,
+         .faulty_workers = fault == endless_answer::none ? 0 : 2}};
     scene.play(4s, 24, 0);
     scene.check_promises();
     scene.check_served();
@@ -61,21 +60,33 @@
 BOOST_AUTO_TEST_CASE(a_limit_of_the_kernel_is_kept)
 {
     memory_scene scene{
-        endless_answer::chunks, 2, memory_scene::limited_by::kernel};
+        {.fault = endless_answer::chunks,
+         .faulty_workers = 2,
+         .limit = limited_by::kernel}};
     scene.play(4s, 24, 8);
     scene.check_promises();
     scene.check_served();
 }
 
 // FAULT and LOST: uploads within the configuration's limit took the daemon over
-// its memory.
-BOOST_AUTO_TEST_CASE(large_uploads_leave_the_daemon_and_other_requests_alone)
+// its memory. These are over what one caller may take of it.
+BOOST_AUTO_TEST_CASE(too_large_uploads_leave_the_daemon_and_others_alone)
 {
-    memory_scene scene{
-        endless_answer::none, 0, memory_scene::limited_by::supervisor};
+    memory_scene scene{{}};
+    scene.play(4s, 24, 16);
+    scene.check_promises();
+    scene.check_served();
+}
+
+// The same with uploads that fit one by one: they are served, in waves over all
+// workers.
+BOOST_AUTO_TEST_CASE(large_uploads_are_served_and_leave_the_daemon_alone)
+{
+    memory_scene scene{{.upload_bytes = 15'000'000}};
     scene.play(4s, 24, 16);
     scene.check_promises();
     scene.check_served();
+    BOOST_TEST(scene.served_uploads() > 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/memory_scene.cpp
+++ b/tests/platform/memory_scene.cpp
@@ -35,8 +35,9 @@
 // Each of a faulty worker's requests whose number is a multiple is spoiled.
 constexpr int spoiled_every = 10;
 constexpr std::size_t block_bytes = 64 * 1024;
+// Stated target: of small requests whose workers are sound, beside all others.
+constexpr double least_served = 0.9;
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
-constexpr std::size_t sound_body_bytes = 3'000;
 constexpr std::chrono::milliseconds start_limit{2'500};
 constexpr std::chrono::milliseconds call_pause{5};
 constexpr std::chrono::milliseconds supervision_interval{5};
@@ -137,9 +138,8 @@
 
 } // namespace
 
-memory_scene::memory_scene(
-    endless_answer fault, int faulty_workers, limited_by limit)
-    : fault_{fault}
+memory_scene::memory_scene(const memory_scene_options& options)
+    : options_{options}
 {
     store_.put("op", "config", configuration());
     for (int i = 0; i < worker_count; ++i)
@@ -150,10 +150,10 @@
         store_.put("servers", fmt::format("w{}", i), worker_entry(host));
         asio::co_spawn(
             loop_,
-            accept(*acceptors_.back(), i < faulty_workers),
+            accept(*acceptors_.back(), i < options.faulty_workers),
             asio::detached);
     }
-    if (limit == limited_by::kernel)
+    if (options.limit == limited_by::kernel)
     {
         daemon_.limit_memory(memory_bytes);
     }
@@ -161,10 +161,14 @@
     {
         daemon_.set_memory_mb(memory_bytes / bytes_per_mb);
     }
+    if (!options.program.empty())
+    {
+        daemon_.set_program(options.program);
+    }
     daemon_.start();
     BOOST_REQUIRE(
         daemon_.wait_until(start_limit, [this] { return daemon_.ready(); }));
-    if (limit == limited_by::supervisor && supervises)
+    if (options.limit == limited_by::supervisor && supervises)
     {
         asio::co_spawn(loop_, supervise(), asio::detached);
     }
@@ -239,8 +243,8 @@
             id_field,
             id,
             signature_line,
-            sound_body_bytes,
-            std::string(sound_body_bytes, 's'));
+            options_.body_bytes,
+            std::string(options_.body_bytes, 's'));
         co_await asio::async_write(socket, asio::buffer(answer), use_tuple);
     }
 }
@@ -248,7 +252,7 @@
 asio::awaitable<void> memory_scene::answer_without_end(
     tcp::socket& socket, const std::string& id)
 {
-    const auto bytes = make_endless(fault_, id);
+    const auto bytes = make_endless(options_.fault, id);
     error_code failure;
     std::tie(failure, std::ignore) =
         co_await asio::async_write(socket, asio::buffer(bytes.head), use_tuple);
@@ -298,9 +302,10 @@
 {
     const auto id = next_id();
     auto& seen = requests_[id];
+    seen.upload = upload;
     seen.idempotent = !upload && requests_.size() % 2 == 0;
     const std::size_t body_bytes =
-        upload ? upload_bytes : (seen.idempotent ? 0 : 100);
+        upload ? options_.upload_bytes : (seen.idempotent ? 0 : 100);
     const auto head = fmt::format(
         "{} HTTP/1.1\r\nHost: a.example\r\n{}: {}\r\n"
         "X-Waxwingvalve-Request-Deadline: {}\r\nContent-Length: {}\r\n\r\n",
@@ -366,6 +371,8 @@
     int late = 0;
     int refused_after_run = 0;
     int sound_lost = 0;
+    int asked = 0;
+    int served = 0;
     for (const auto& [id, seen] : requests_)
     {
         const bool sound = seen.runs > 0 && !seen.spoiled;
@@ -374,6 +381,9 @@
         refused_after_run +=
             seen.status == 503 && !seen.idempotent && seen.runs > 0 ? 1 : 0;
         sound_lost += sound && seen.status != 200 ? 1 : 0;
+        const bool small_and_sound = !seen.upload && !seen.spoiled;
+        asked += small_and_sound ? 1 : 0;
+        served += small_and_sound && seen.status == 200 ? 1 : 0;
     }
     BOOST_TEST_CONTEXT(
         "of " << requests_.size() << " requests, with up to "
@@ -385,9 +395,18 @@
         BOOST_TEST(late == 0);
         BOOST_TEST(refused_after_run == 0);
         BOOST_TEST(sound_lost == 0);
+        BOOST_TEST(served >= least_served * asked);
     }
 }
 
+int memory_scene::served_uploads() const
+{
+    return static_cast<int>(std::ranges::count_if(
+        requests_,
+        [](const auto& entry)
+        { return entry.second.upload && entry.second.status == 200; }));
+}
+
 void memory_scene::check_served()
 {
     const auto id = next_id();
