--- a/packages/schema/bounded_json.cpp
+++ b/packages/schema/bounded_json.cpp
@@ -28,14 +28,14 @@
         {
             throw std::bad_alloc{};
         }
-        void* block = ::operator new (size, std::align_val_t{alignment});
+        void* block = ::operator new(size);
         left_ -= size;
         return block;
     }
     void do_deallocate(
         void* block, std::size_t size, std::size_t /*alignment*/) override
     {
-        ::operator delete (block, std::align_val_t{alignment});
+        ::operator delete(block);
         left_ += size;
     }
     bool do_is_equal(const json::memory_resource& other) const noexcept override
