Limits: the sizes of answers forget routes of old configurations

A table keyed by names of routes grew with every name a route ever had. answer_memory_decisions/routes_without_answers_of_late_are_forgotten; the comment on the kept quarter says what the code does.

--- a/packages/decision/limits/answer_sizes.cpp
+++ b/packages/decision/limits/answer_sizes.cpp
@@ -20,11 +20,23 @@
 void answer_sizes::record(
     const std::string& route, std::uint64_t bytes, base::instant now)
 {
+    if (routes_.size() >= many_routes && !routes_.contains(route))
+    {
+        forget_old(now);
+    }
     auto& known = routes_[route];
     known = advanced(known, now);
     known.largest = std::max(known.largest, bytes);
 }
 
+void answer_sizes::forget_old(base::instant now)
+{
+    std::erase_if(
+        routes_,
+        [now](const auto& entry)
+        { return now - entry.second.begin >= 2 * window; });
+}
+
 std::uint64_t answer_sizes::largest(
     const std::string& route, base::instant now) const
 {
--- a/packages/front/body_memory.hpp
+++ b/packages/front/body_memory.hpp
@@ -29,7 +29,8 @@
 
 // Requests and answers have a half each, so that uploads that wait for a worker
 // leave room for the answers of others. A quarter of the answers' half is kept
-// for answers of requests that may not be sent again.
+// for what is set aside before requests are sent, and for answers of requests
+// that may not be sent again.
 struct body_memory
 {
     explicit body_memory(const memory_options& options);
--- a/tests/decision/limits/answer_sizes_test.cpp
+++ b/tests/decision/limits/answer_sizes_test.cpp
@@ -1,6 +1,8 @@
 // Tests what memory an answer is expected to need.
 #include <boost/test/unit_test.hpp>
 
+#include <string>
+
 #include "decision/limits/answer_sizes.hpp"
 #include "decision/steering/oversized_answers.hpp"
 
@@ -33,6 +35,17 @@
     BOOST_TEST(sizes.largest("a", start + 60s) == 0U);
 }
 
+// Guards against a table that grows with every name a route ever had.
+BOOST_AUTO_TEST_CASE(routes_without_answers_of_late_are_forgotten)
+{
+    answer_sizes sizes;
+    for (int i = 0; i < 5'000; ++i)
+    {
+        sizes.record(std::to_string(i), 100, start + i * 100ms);
+        BOOST_TEST(sizes.routes() <= answer_sizes::many_routes);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(one_oversized_answer_excludes_no_worker)
 {
     oversized_answers answers;
