Front: memory set aside for answers counts for its caller

Found by the new case with every kind of sender at its worst: 267 requests with sound answers of 300 KB were lost after they had run, beside callers that read nothing, whose requests in flight counted for nobody.

--- a/packages/front/client_session.cpp
+++ b/packages/front/client_session.cpp
@@ -217,7 +217,10 @@
     pending->head_request = received.message.method == "HEAD";
     pending->close_after_answer = !received.keep_alive;
     pending->flow = std::make_shared<request_flow>(
-        context_, std::move(received.message), std::move(received.memory));
+        context_,
+        std::move(received.message),
+        std::move(received.memory),
+        answer_memory_);
     pending_.push_back(std::move(pending));
     if (!received.keep_alive)
     {
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -142,11 +142,7 @@
     }
     if (is_success(answer.status) && signed_by_worker)
     {
-        if (!route_->idempotent)
-        {
-            context_.answer_sizes.record(
-                route_->name, outcome.needed_memory, now);
-        }
+        context_.answer_sizes.record(route_->name, outcome.needed_memory, now);
         context_.view.record_outcome(*worker, false, now);
         context_.view.record_latency(
             service_, now - attempt_started_at_, route_->target_latency);
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -26,16 +26,20 @@
 constexpr std::chrono::seconds default_deadline{10};
 // With less time left than this, another attempt cannot finish in time.
 constexpr std::chrono::milliseconds min_time_for_attempt{40};
+// For the answer of a request that may be sent again.
+constexpr std::uint64_t max_set_aside_bytes = 512ULL * 1024;
 
 } // namespace
 
 request_flow::request_flow(
     serving_context& context,
     net::http_request request,
-    base::byte_hold body_bytes)
+    base::byte_hold body_bytes,
+    std::shared_ptr<base::byte_budget> answer_memory)
     : context_{context}, request_{std::move(request)},
       body_{std::make_shared<const std::string>(std::move(request_.body))},
-      body_bytes_{std::move(body_bytes)},
+      body_bytes_{std::move(body_bytes)}, answer_memory_{std::move(
+                                              answer_memory)},
       attempt_id_{header_value(request_.fields, context.fields.attempt_id)},
       received_at_{base::monotonic_clock::now()}, timer_{context.loop}
 {
@@ -188,21 +192,20 @@
     send_to(chosen.value());
 }
 
-// An answer that is larger than what is set aside takes more, or is lost. That
-// must not happen to a request that can't be sent again: the largest answer of
-// its route is set aside for it.
+// An answer that is larger than what is set aside takes more, or is lost after
+// it has run. So the largest answer of its route is set aside; for a request
+// that may be sent again, no more than a part of the callers' memory each.
 bool request_flow::set_aside_answer()
 {
-    auto needed = context_.memory.usual_answer;
-    if (!route_->idempotent)
-    {
-        needed = std::max(
-            needed,
-            context_.answer_sizes.largest(
-                route_->name, base::monotonic_clock::now()));
-    }
-    set_aside_ =
-        base::byte_hold{context_.memory.answers, base::byte_claim::kept};
+    const auto largest = context_.answer_sizes.largest(
+        route_->name, base::monotonic_clock::now());
+    const auto most = route_->idempotent ? max_set_aside_bytes
+                                         : context_.memory.most_for_answer;
+    const auto needed = std::clamp(
+        largest,
+        context_.memory.usual_answer,
+        std::max(most, context_.memory.usual_answer));
+    set_aside_ = base::byte_hold{answer_memory_, base::byte_claim::kept};
     return set_aside_.try_grow(needed);
 }
 
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -27,11 +27,13 @@
 public:
     using responder = std::function<void(net::http_response)>;
 
-    // `body_bytes` holds the memory of the request's body.
+    // `body_bytes` holds the memory of the request's body; its answer takes
+    // memory from `answer_memory`, the caller's part.
     request_flow(
         serving_context& context,
         net::http_request request,
-        base::byte_hold body_bytes);
+        base::byte_hold body_bytes,
+        std::shared_ptr<base::byte_budget> answer_memory);
     ~request_flow();
     request_flow(const request_flow&) = delete;
     request_flow& operator=(const request_flow&) = delete;
@@ -110,6 +112,7 @@
     // Shared with the connections that send it.
     std::shared_ptr<const std::string> body_;
     base::byte_hold body_bytes_;
+    std::shared_ptr<base::byte_budget> answer_memory_;
     std::string attempt_id_;
     std::string object_;
     std::string service_;
