--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -278,6 +278,12 @@
     timer_.cancel();
 
     auto received = reader_.take();
+    if (owner_->memory.used() > owner_->memory.limit())
+    {
+        // Answers that others leave unread.
+        auto refusal = owner_->handlers.refuse({result_code::overloaded});
+        co_return co_await send(std::move(refusal), false);
+    }
     const bool keep_alive = received.keep_alive && !owner_->stopping;
     auto reply = co_await answer(std::move(received.message));
     if (!reply)
@@ -332,6 +338,8 @@
 asio::awaitable<bool> http_server::state::session::send(
     http_response answer, bool keep_alive)
 {
+    base::byte_hold memory{owner_->memory};
+    memory.resize(memory_of(answer));
     auto message = to_message(std::move(answer), keep_alive);
     start_timer(owner_->limits.send_time);
     auto [failure, size] =
--- a/packages/net/http_server.hpp
+++ b/packages/net/http_server.hpp
@@ -26,7 +26,8 @@
 {
     std::uint32_t head_bytes{16 * 1024};
     std::uint64_t body_bytes{1024 * 1024};
-    // All requests together that are being read or run.
+    // All requests that are being read or run, and all answers that are being
+    // written, together. Beyond it requests are refused.
     std::uint64_t memory_bytes{64 * 1024 * 1024};
     std::size_t connections{4096};
     // From a request's first byte to the end of its body.
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -30,9 +31,17 @@
 constexpr std::size_t connection_limit = 4;
 constexpr std::chrono::milliseconds receive_time{300};
 
+// Three of these are more than the server's answers may take together.
+constexpr std::size_t page_bytes = 32 * 1024 * 1024;
+
 net::http_response echo(const net::http_request& in)
 {
     net::http_response out;
+    if (in.target == "/page")
+    {
+        out.body = std::string(page_bytes, 'x');
+        return out;
+    }
     out.body = fmt::format("[{} {} {}]", in.method, in.target, in.body);
     return out;
 }
@@ -272,6 +281,34 @@
     BOOST_TEST(second < third);
 }
 
+// Guards against callers that fetch large answers and leave them unread.
+BOOST_AUTO_TEST_CASE(beside_unread_answers_further_requests_are_refused)
+{
+    served server;
+    const auto refused =
+        fmt::format("<{}>", base::number(base::result_code::overloaded));
+    {
+        std::vector<tcp::socket> unreading;
+        unreading.reserve(3);
+        for (int i = 0; i < 3; ++i)
+        {
+            unreading.push_back(server.connect());
+            boost::asio::write(
+                unreading.back(),
+                boost::asio::buffer(
+                    std::string_view{"GET /page HTTP/1.1\r\nHost: a\r\n\r\n"}));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{500});
+        const auto answer = server.exchange(
+            "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        BOOST_TEST(answer.find(refused) != std::string::npos);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+    const auto answer = server.exchange(
+        "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(answer.find("[GET /a ]") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(one_connection_too_many_is_told_so)
 {
     std::vector<tcp::socket> kept;
