--- a/packages/net/http_server.cpp
+++ b/packages/net/http_server.cpp
@@ -338,8 +338,8 @@
 asio::awaitable<bool> http_server::state::session::send(
     http_response answer, bool keep_alive)
 {
-    base::byte_hold memory{owner_->memory};
-    memory.resize(memory_of(answer));
+    base::byte_hold held{owner_->memory};
+    held.resize(memory_of(answer));
     auto message = to_message(std::move(answer), keep_alive);
     start_timer(owner_->limits.send_time);
     auto [failure, size] =
