Soak: workers and daemons in files of their own

Cause: soak_world has the workers, the daemons and what both share; checks of lost requests and larger fleets come to each of them. Change: soak_worker, soak_daemon and soak_ledger; moved only.

--- a/tests/soak/configuration_check.hpp
+++ b/tests/soak/configuration_check.hpp
@@ -17,8 +17,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "soak/soak_client.hpp"
+#include "soak/soak_daemon.hpp"
 #include "soak/soak_store.hpp"
-#include "soak/soak_world.hpp"
 
 namespace waxwingvalve::soak
 {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,7 +14,7 @@
 #include "soak/configuration_check.hpp"
 #include "soak/soak_client.hpp"
 #include "soak/soak_store.hpp"
-#include "soak/soak_world.hpp"
+#include "soak/soak_worker.hpp"
 
 using namespace waxwingvalve;
 using namespace waxwingvalve::soak;
--- a/tests/soak/soak_client.hpp
+++ b/tests/soak/soak_client.hpp
@@ -12,11 +12,13 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "soak/soak_world.hpp"
+#include "soak/soak_daemon.hpp"
 
 namespace waxwingvalve::soak
 {
 
+using tcp = boost::asio::ip::tcp;
+
 struct client_answer
 {
     unsigned status{};
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -6,7 +6,7 @@
 
 #include <fmt/format.h>
 
-#include "soak/soak_world.hpp"
+#include "soak/soak_ledger.hpp"
 
 namespace waxwingvalve::soak
 {
