Tests: answers without end come from one stand-in

Cause: the soak is to have workers whose answers never end, as the memory tests have. Change: stand_ins/endless_answer makes them for both. daemon_memory plays a head without end as well, and the fake store can answer with 8 MiB.

--- a/tests/platform/daemon_memory_test.cpp
+++ b/tests/platform/daemon_memory_test.cpp
@@ -10,7 +10,7 @@
 using namespace waxwingvalve::tests;
 using namespace std::chrono_literals;
 
-namespace waxwingvalve::tests
+namespace waxwingvalve::stand_ins
 {
 
 std::ostream& operator<<(std::ostream& out, endless_answer fault)
@@ -26,12 +26,14 @@
     case endless_answer::refusal:
         return out << "a refusal's body";
     case endless_answer::one_byte_chunks:
+        return out << "chunks of one byte";
+    case endless_answer::head:
         break;
     }
-    return out << "chunks of one byte";
+    return out << "a head";
 }
 
-} // namespace waxwingvalve::tests
+} // namespace waxwingvalve::stand_ins
 
 BOOST_AUTO_TEST_SUITE(daemon_memory)
 
@@ -44,7 +46,8 @@
          endless_answer::body_until_close,
          endless_answer::chunks,
          endless_answer::refusal,
-         endless_answer::one_byte_chunks}),
+         endless_answer::one_byte_chunks,
+         endless_answer::head}),
     fault)
 {
     memory_scene scene{
--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -23,6 +23,7 @@
 constexpr std::string_view encoded_marker = "encoded-marker";
 constexpr std::string_view marker_base64 = "ZW5jb2RlZC1tYXJrZXI=";
 
+constexpr std::size_t oversized_bytes = 8 * 1024 * 1024;
 constexpr std::chrono::milliseconds poll_interval{10};
 // Longer than the request timeout of the store's clients.
 constexpr std::chrono::seconds no_response_delay{10};
@@ -205,6 +206,8 @@
         co_return std::nullopt;
     case store_fault::invalid_json:
         co_return net::make_json("\x01");
+    case store_fault::oversized:
+        co_return net::make_json(std::string(oversized_bytes, ' '));
     case store_fault::history_gone:
         if (is_feed)
         {
--- a/tests/platform/fake_store.hpp
+++ b/tests/platform/fake_store.hpp
@@ -35,6 +35,8 @@
     history_gone,
     // The response body is not valid JSON.
     invalid_json,
+    // The response body is larger than any that the store sends.
+    oversized,
 };
 
 // HTTP server on a free loopback port that serves rows from memory.
--- a/tests/platform/memory_scene.cpp
+++ b/tests/platform/memory_scene.cpp
@@ -102,43 +102,6 @@
     return text.empty() ? 0 : std::stoul(text);
 }
 
-// The head of an answer without end, and what follows it again and again.
-struct endless_bytes
-{
-    std::string head{};
-    std::string block{};
-};
-
-endless_bytes make_endless(endless_answer fault, const std::string& id)
-{
-    const bool refusal = fault == endless_answer::refusal;
-    endless_bytes made{
-        .head = fmt::format(
-            "HTTP/1.1 {}\r\n{}: {}\r\n{}",
-            refusal ? "503 Busy" : "200 OK",
-            id_field,
-            id,
-            signature_line)};
-    if (fault == endless_answer::body_until_close || refusal)
-    {
-        made.head += "\r\n";
-        made.block = std::string(block_bytes, 'x');
-        return made;
-    }
-    made.head += "Transfer-Encoding: chunked\r\n\r\n";
-    if (fault == endless_answer::chunks)
-    {
-        made.block = fmt::format(
-            "{:x}\r\n{}\r\n", block_bytes, std::string(block_bytes, 'x'));
-        return made;
-    }
-    for (int i = 0; i < 10'000; ++i)
-    {
-        made.block += "1\r\nx\r\n";
-    }
-    return made;
-}
-
 } // namespace
 
 memory_scene::memory_scene(const memory_scene_options& options)
@@ -255,7 +218,9 @@
 asio::awaitable<void> memory_scene::answer_without_end(
     tcp::socket& socket, const std::string& id)
 {
-    const auto bytes = make_endless(options_.fault, id);
+    const auto bytes = stand_ins::make_endless(
+        options_.fault,
+        fmt::format("{}: {}\r\n{}", id_field, id, signature_line));
     error_code failure;
     std::tie(failure, std::ignore) =
         co_await asio::async_write(socket, asio::buffer(bytes.head), use_tuple);
--- a/tests/platform/memory_scene.hpp
+++ b/tests/platform/memory_scene.hpp
@@ -19,21 +19,12 @@
 #include "base/time.hpp"
 #include "platform/daemon_process.hpp"
 #include "platform/fake_store.hpp"
+#include "stand_ins/endless_answer.hpp"
 
 namespace waxwingvalve::tests
 {
 
-// What a worker sends until the daemon closes the connection.
-enum class endless_answer : std::uint8_t
-{
-    none,
-    // A body that ends with the connection.
-    body_until_close,
-    chunks,
-    // The same with status 503.
-    refusal,
-    one_byte_chunks,
-};
+using stand_ins::endless_answer;
 
 // What workers and callers saw of one request.
 struct seen_request
