--- a/tests/soak/configuration_check.cpp
+++ b/tests/soak/configuration_check.cpp
@@ -67,7 +67,11 @@
     const probe sent{
         configuration, of.daemon.starts(), base::monotonic_clock::now()};
     const auto id = fmt::format("probe-{}", ++asked_);
-    seen_.attempts[id] = {.idempotent = true, .sent_at = sent.sent_at};
+    auto& record = seen_.attempts[id];
+    record = {
+        .idempotent = true,
+        .daemon = of.daemon.number(),
+        .sent_at = sent.sent_at};
     // A path of its own, or a worker's end would make it a crashing request.
     auto request = fmt::format(
         "GET /c{}/{} HTTP/1.1\r\nHost: desk.example\r\n{}: {}\r\n"
@@ -78,6 +82,10 @@
         id);
     const auto answer =
         co_await of.connection.ask(of.daemon.callers(), std::move(request));
+    if (!answer)
+    {
+        record.ended_at = base::monotonic_clock::now();
+    }
     if (answer && of.daemon.starts() == sent.process)
     {
         judge(of, sent, answer->status);
--- a/tests/soak/configuration_check.hpp
+++ b/tests/soak/configuration_check.hpp
@@ -44,7 +44,7 @@
     struct watched_daemon
     {
         watched_daemon(boost::asio::io_context& loop, const soak_daemon& of)
-            : daemon{of}, connection{loop}, timer{loop}
+            : daemon{of}, connection{loop, "127.0.0.1"}, timer{loop}
         {
         }
 
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -12,6 +12,8 @@
 #include <fmt/format.h>
 
 #include "base/number.hpp"
+#include "harness/loopback.hpp"
+#include "stand_ins/endless_answer.hpp"
 
 namespace waxwingvalve::soak
 {
@@ -26,11 +28,16 @@
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 // A caller takes a request without an answer for lost after this.
 constexpr std::chrono::milliseconds caller_time{3'000};
+// Callers share a few IP numbers, behind those of the daemons.
+constexpr int first_host = 220;
+constexpr int hosts = 8;
+constexpr unsigned large_one_in = 8;
+constexpr std::size_t large_bytes = 2 * 1024 * 1024;
 
 } // namespace
 
-client_connection::client_connection(asio::io_context& loop)
-    : socket_{loop}, timer_{loop}
+client_connection::client_connection(asio::io_context& loop, std::string host)
+    : socket_{loop}, timer_{loop}, host_{std::move(host)}
 {
 }
 
@@ -67,6 +74,8 @@
     if (!socket_.is_open())
     {
         bytes_.clear();
+        socket_.open(tcp::v4());
+        socket_.bind({asio::ip::make_address(host_), 0});
         const tcp::endpoint target{
             asio::ip::make_address(where.address), where.port};
         const auto [refused] =
@@ -113,11 +122,14 @@
 
 soak_caller::soak_caller(
     asio::io_context& loop,
+    int number,
     const std::vector<std::unique_ptr<soak_daemon>>& daemons,
     ledger& seen,
     std::uint64_t seed)
     : loop_{loop}, daemons_{daemons}, seen_{seen}, random_{seed},
-      keeps_connection_{random_() % 2 == 0}, connection_{loop}, timer_{loop}
+      keeps_connection_{random_() % 2 == 0},
+      connection_{loop, tests::own_host(first_host + number % hosts)}, timer_{
+                                                                           loop}
 {
 }
 
@@ -140,26 +152,42 @@
     }
 }
 
+std::size_t soak_caller::draw_body_bytes()
+{
+    const bool large = base::monotonic_clock::now() < uploads_until_ &&
+                       random_() % large_one_in == 0;
+    return large ? large_bytes : 0;
+}
+
 asio::awaitable<void> soak_caller::ask_once()
 {
-    std::uniform_int_distribution<std::size_t> pick{0, daemons_.size() - 1};
-    auto where = daemons_[pick(random_)]->callers();
+    if (!connection_.is_open())
+    {
+        std::uniform_int_distribution<std::size_t> pick{0, daemons_.size() - 1};
+        daemon_ = pick(random_);
+    }
+    auto where = daemons_[daemon_]->callers();
     const auto id = fmt::format("{:016x}", random_());
     const bool idempotent = random_() % 2 == 0;
     seen_.attempts[id] = {
-        .idempotent = idempotent, .sent_at = base::monotonic_clock::now()};
+        .idempotent = idempotent,
+        .daemon = daemons_[daemon_]->number(),
+        .sent_at = base::monotonic_clock::now()};
+    const auto body_bytes = idempotent ? 0 : draw_body_bytes();
     auto request = fmt::format(
         "{} /{}/ HTTP/1.1\r\nHost: desk.example\r\n{}: {}\r\nCookie: "
         "X-Waxwingvalve-Affinity-Key={}\r\nX-Waxwingvalve-Request-Deadline: "
-        "2000\r\n{}\r\n",
+        "2000\r\n{}\r\n{}",
         idempotent ? "GET" : "POST",
         idempotent ? "safe" : "unsafe",
         attempt_field,
         id,
         random_() % 20,
-        idempotent ? "" : "Content-Length: 0\r\n");
+        idempotent ? "" : fmt::format("Content-Length: {}\r\n", body_bytes),
+        std::string(body_bytes, 'u'));
     const auto answer =
         co_await connection_.ask(std::move(where), std::move(request));
+    seen_.attempts[id].ended_at = base::monotonic_clock::now();
     if (answer)
     {
         note_answer(id, *answer);
@@ -169,12 +197,24 @@
 void soak_caller::note_answer(
     const std::string& id, const client_answer& answer)
 {
-    seen_.attempts[id].status = answer.status;
+    auto& record = seen_.attempts[id];
+    record.status = answer.status;
     const bool own = !value_of(answer.head, signature_field).empty();
-    const bool wrong = answer.status == 200 && (!own || answer.body != id);
+    // The close of the path to a worker makes a whole answer of a body that
+    // ends with the connection.
+    const bool cut_body =
+        record.spoiled && answer.body.find_first_not_of(
+                              stand_ins::endless_content) == std::string::npos;
+    const bool wrong =
+        answer.status == 200 && (!own || (answer.body != id && !cut_body));
     if (wrong || answer.surplus || answer.status == 0)
     {
-        seen_.broken.push_back("wrong answer: " + id);
+        seen_.broken.push_back(fmt::format(
+            "wrong answer to {}: {}, {} bytes: {:.40}",
+            id,
+            answer.status,
+            answer.body.size(),
+            answer.body));
     }
 }
 
--- a/tests/soak/soak_client.hpp
+++ b/tests/soak/soak_client.hpp
@@ -33,12 +33,14 @@
 class client_connection
 {
 public:
-    explicit client_connection(boost::asio::io_context& loop);
+    // `host` is the IP number that it connects from.
+    client_connection(boost::asio::io_context& loop, std::string host);
 
     // Asks on the open connection, or on a new one to `where`. Returns nothing
     // if the connection ended without a whole answer.
     boost::asio::awaitable<std::optional<client_answer>> ask(
         base::endpoint where, std::string request);
+    bool is_open() const { return socket_.is_open(); }
     void close();
 
 private:
@@ -47,6 +49,7 @@
 
     tcp::socket socket_;
     boost::asio::steady_timer timer_;
+    std::string host_;
     std::string bytes_{};
 };
 
@@ -57,16 +60,20 @@
 public:
     soak_caller(
         boost::asio::io_context& loop,
+        int number,
         const std::vector<std::unique_ptr<soak_daemon>>& daemons,
         ledger& seen,
         std::uint64_t seed);
 
     void start();
+    // Until `end` some of its requests have large bodies.
+    void upload(base::instant end) { uploads_until_ = end; }
     void stop() { stopped_ = true; }
 
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> ask_once();
+    std::size_t draw_body_bytes();
     void note_answer(const std::string& id, const client_answer& answer);
 
     boost::asio::io_context& loop_;
@@ -75,6 +82,9 @@
     std::mt19937_64 random_;
     bool keeps_connection_;
     client_connection connection_;
+    // The daemon that the connection leads to.
+    std::size_t daemon_{0};
+    base::instant uploads_until_{};
     boost::asio::steady_timer timer_;
     bool stopped_{false};
 };
--- a/tests/soak/soak_daemon.cpp
+++ b/tests/soak/soak_daemon.cpp
@@ -2,9 +2,14 @@
 
 #include <csignal>
 
+#include <algorithm>
 #include <fstream>
+#include <ranges>
+
+#include <unistd.h>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "harness/loopback.hpp"
 
@@ -14,26 +19,43 @@
 namespace
 {
 
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 constexpr int caller_port = 18'161;
 constexpr int control_port = caller_port + 3;
+// A daemon that was started answers its callers after this.
+constexpr std::chrono::milliseconds start_time{2'500};
 
 std::string address_of(int daemon, int port)
 {
     return fmt::format("{}:{}", tests::own_host(daemon), port);
 }
 
+std::string zone_list()
+{
+    std::vector<std::string> listed;
+    for (const auto& one : zones)
+    {
+        listed.push_back(fmt::format(
+            R"({{"zone": "{}", "region": "{}"}})", one.name, one.region));
+    }
+    return fmt::format("[{}]", fmt::join(listed, ", "));
+}
+
 std::string settings_of(int number, const base::endpoint& store)
 {
+    const auto& own = zone_of(number);
     return fmt::format(
-        R"({{"schema_version": 1, "name": "entry-{}", "region": "addis",
-"zone": "addis-a", "caller_address": "{}", "readiness_address": "{}",
+        R"({{"schema_version": 1, "name": "entry-{}", "region": "{}",
+"zone": "{}", "caller_address": "{}", "readiness_address": "{}",
 "lookup_address": "{}", "control_address": "{}", "peer_port": {},
 "seeds": ["{}", "{}"],
-"zones": [{{"zone": "addis-a", "region": "addis"}}],
+"zones": {},
 "store_address": "{}", "lookup_lifetime": "1s", "stop_time": "4s",
 "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 100,
-"log_level": "info"}})",
+"memory_mb": {}, "log_level": "info"}})",
         number,
+        own.region,
+        own.name,
         address_of(number, caller_port),
         address_of(number, caller_port + 1),
         address_of(number, caller_port + 2),
@@ -41,7 +63,9 @@
         caller_port + 4,
         address_of(0, control_port),
         address_of(1, control_port),
-        to_string(store));
+        zone_list(),
+        to_string(store),
+        memory_bytes / bytes_per_mb);
 }
 
 } // namespace
@@ -72,7 +96,7 @@
 {
     ++starts_;
     told_to_end_ = false;
-    disturbed_at_ = base::monotonic_clock::now();
+    note(daemon_state::starting);
     namespace bp = boost::process;
     const auto log = folder_ / fmt::format("entry-{}.log", number_);
     std::FILE* out = std::fopen(log.c_str(), "a");
@@ -97,10 +121,87 @@
     }
     ::kill(child_.id(), signal);
     told_to_end_ = told_to_end_ || signal == SIGKILL || signal == SIGTERM;
-    if (signal != SIGHUP)
+    switch (signal)
+    {
+    case SIGKILL:
+        note(daemon_state::killed);
+        break;
+    case SIGTERM:
+        note(daemon_state::stopping);
+        break;
+    case SIGSTOP:
+        note(daemon_state::paused);
+        break;
+    case SIGCONT:
+        if (changes_.back().state == daemon_state::paused)
+        {
+            note(told_to_end_ ? daemon_state::stopping : daemon_state::resumed);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void soak_daemon::note(daemon_state state)
+{
+    disturbed_at_ = base::monotonic_clock::now();
+    changes_.push_back({disturbed_at_, state});
+}
+
+std::span<const soak_daemon::state_change> soak_daemon::changes_until(
+    base::instant at) const
+{
+    const auto next =
+        std::ranges::upper_bound(changes_, at, {}, &state_change::at);
+    return {changes_.begin(), next};
+}
+
+// How long the process that there is at `at` has been running by then.
+base::duration soak_daemon::running_time(base::instant at) const
+{
+    base::duration total{};
+    auto until = at;
+    for (const auto& change : changes_until(at) | std::views::reverse)
     {
-        disturbed_at_ = base::monotonic_clock::now();
+        if (change.state != daemon_state::paused)
+        {
+            total += until - change.at;
+        }
+        if (change.state == daemon_state::starting)
+        {
+            break;
+        }
+        until = change.at;
     }
+    return total;
+}
+
+bool soak_daemon::undisturbed(base::instant from, base::instant to) const
+{
+    const auto before = changes_until(from);
+    if (before.empty() || changes_until(to).size() != before.size())
+    {
+        return false;
+    }
+    const auto state = before.back().state;
+    const bool up =
+        state == daemon_state::starting || state == daemon_state::resumed;
+    return up && running_time(from) >= start_time;
+}
+
+bool soak_daemon::only_stopped(base::instant from, base::instant to) const
+{
+    const auto before = changes_until(from);
+    if (before.empty() || before.back().state == daemon_state::paused ||
+        before.back().state == daemon_state::killed)
+    {
+        return false;
+    }
+    return std::ranges::all_of(
+        changes_until(to).subspan(before.size()),
+        [](const state_change& one)
+        { return one.state == daemon_state::stopping; });
 }
 
 bool soak_daemon::running()
@@ -136,6 +237,26 @@
                                : fmt::format("status {}", WEXITSTATUS(status));
 }
 
+std::vector<base::endpoint> soak_daemon::ports() const
+{
+    std::vector<base::endpoint> all;
+    for (auto port = caller_port; port <= control_port; ++port)
+    {
+        all.push_back(
+            {tests::own_host(number_), static_cast<std::uint16_t>(port)});
+    }
+    return all;
+}
+
+std::uint64_t soak_daemon::resident_bytes() const
+{
+    std::ifstream sizes{fmt::format("/proc/{}/statm", child_.id())};
+    std::uint64_t all_pages{0};
+    std::uint64_t resident_pages{0};
+    sizes >> all_pages >> resident_pages;
+    return resident_pages * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+}
+
 base::endpoint soak_daemon::callers() const
 {
     return {tests::own_host(number_), caller_port};
--- a/tests/soak/soak_daemon.hpp
+++ b/tests/soak/soak_daemon.hpp
@@ -1,9 +1,12 @@
 // The soak's daemons: the real program as processes on loopback.
 #pragma once
 
+#include <cstdint>
 #include <filesystem>
 #include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 #include <boost/process.hpp>
 
@@ -14,6 +17,16 @@
 namespace waxwingvalve::soak
 {
 
+enum class daemon_state : std::uint8_t
+{
+    starting,
+    paused,
+    resumed,
+    // Told to end by SIGTERM.
+    stopping,
+    killed,
+};
+
 // A daemon process; only ever signalled by its own id.
 class soak_daemon
 {
@@ -35,9 +48,17 @@
     // How a process that nobody told to end has ended, if it has.
     std::optional<std::string> own_end();
     base::endpoint callers() const;
+    // Where callers, readiness checks, look-ups and control connect.
+    std::vector<base::endpoint> ports() const;
+    std::uint64_t resident_bytes() const;
     int number() const { return number_; }
     // Counts the processes, so that two of them can be told apart.
     int starts() const { return starts_; }
+    // Whether nothing kept the daemon from answering a request that was sent at
+    // `from` and ended at `to`.
+    bool undisturbed(base::instant from, base::instant to) const;
+    // Whether nothing but a planned stop has disturbed it in that time.
+    bool only_stopped(base::instant from, base::instant to) const;
     // Whether a kill, a stop, a pause or a start is long enough ago.
     bool calm(base::instant at) const
     {
@@ -45,11 +66,23 @@
     }
 
 private:
+    struct state_change
+    {
+        base::instant at{};
+        daemon_state state{};
+    };
+
+    void note(daemon_state state);
+    std::span<const state_change> changes_until(base::instant at) const;
+    base::duration running_time(base::instant at) const;
+
     int number_;
     int starts_{0};
     // The process was sent a signal that ends it.
     bool told_to_end_{false};
     base::instant disturbed_at_{};
+    // In the order of time; not empty once it was started.
+    std::vector<state_change> changes_{};
     std::filesystem::path folder_;
     std::filesystem::path program_;
     std::filesystem::path settings_;
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -2,7 +2,9 @@
 // users' times, and what has been seen of each attempt.
 #pragma once
 
+#include <array>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -22,6 +24,9 @@
 constexpr std::chrono::milliseconds configuration_bound{2'500};
 constexpr std::chrono::milliseconds rollback_slack{250};
 
+// What a process may use on the users' machines.
+constexpr std::uint64_t memory_bytes = 260ULL * 1024 * 1024;
+
 constexpr std::string_view attempt_field = "X-Waxwingvalve-Attempt-Id";
 constexpr std::string_view signature_field =
     "X-Waxwingvalve-Response-Signature";
@@ -35,14 +40,41 @@
     std::chrono::milliseconds time,
     std::function<void()> action);
 
+struct soak_zone
+{
+    std::string_view name{};
+    std::string_view region{};
+};
+
+// As on the users' small sites: three regions of two zones.
+constexpr std::array<soak_zone, 6> zones{{
+    {"addis-a", "addis"},
+    {"harar-a", "harar"},
+    {"mekele-a", "mekele"},
+    {"addis-b", "addis"},
+    {"harar-b", "harar"},
+    {"mekele-b", "mekele"},
+}};
+
+// Daemons and workers go round the zones.
+constexpr const soak_zone& zone_of(int number)
+{
+    return zones.at(static_cast<std::size_t>(number) % zones.size());
+}
+
 // Everything that workers and callers saw of one attempt.
 struct attempt_record
 {
     bool idempotent{};
     int runs{0};
+    // A worker answered with bytes without end.
+    bool spoiled{false};
     // 0 when the connection ended without an answer.
     unsigned status{0};
+    // The number of the daemon that was asked.
+    int daemon{};
     base::instant sent_at{};
+    base::instant ended_at{};
 };
 
 struct ledger
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -40,7 +40,12 @@
         routes += ',' + route(fmt::format("c{}", i), "safe");
     }
     return fmt::format(
-        R"({{"version":"r{}","resources":[{}]}})", version, routes);
+        R"({{"version":"r{}","resources":[{},{{"entry_type":"limits",)"
+        R"("metadata":{{}},"spec":{{"max_header_bytes":16384,)"
+        R"("max_body_bytes":67108864,"header_timeout":"3s",)"
+        R"("idle_timeout":"15s"}}}}]}})",
+        version,
+        routes);
 }
 
 } // namespace
@@ -147,7 +152,8 @@
         store_fault::too_many_requests,
         store_fault::connection_closed,
         store_fault::no_response,
-        store_fault::history_gone};
+        store_fault::history_gone,
+        store_fault::oversized};
     std::uniform_int_distribution<std::size_t> pick{0, faults.size() - 1};
     set_fault(faults.at(pick(random_)), draw(300, 2'500));
 }
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -3,12 +3,18 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "harness/loopback.hpp"
+
 namespace waxwingvalve::soak
 {
 
@@ -18,6 +24,13 @@
 namespace
 {
 
+// Behind the hosts of the daemons.
+constexpr int first_host = 240;
+constexpr std::uint16_t relay_port = 18'167;
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned spoiled_one_in = 5;
+// Leaves the loop to others.
+constexpr std::chrono::milliseconds block_pause{1};
 constexpr std::string_view target_field = "X-Waxwingvalve-Target-Instance";
 
 base::endpoint address_of(const tcp::acceptor& acceptor)
@@ -41,13 +54,15 @@
 };
 
 soak_worker::soak_worker(
-    asio::io_context& loop, std::string id, ledger& seen, std::uint64_t seed)
-    : loop_{loop}, id_{std::move(id)}, seen_{seen}, random_{seed},
-      acceptor_{loop, {asio::ip::address_v4::loopback(), 0}}
+    asio::io_context& loop,
+    int number,
+    std::string id,
+    ledger& seen,
+    std::uint64_t seed)
+    : loop_{loop}, number_{number}, id_{std::move(id)}, seen_{seen},
+      random_{seed}, acceptor_{loop, {asio::ip::address_v4::loopback(), 0}},
+      relay_address_{tests::own_host(first_host + number), relay_port}
 {
-    tcp::acceptor probe{loop, {asio::ip::address_v4::loopback(), 0}};
-    relay_address_ = address_of(probe);
-    probe.close();
     relay_ = std::make_unique<stand_ins::relay>(
         loop, relay_address_, address_of(acceptor_), seed);
     if (!relay_->start())
@@ -61,10 +76,11 @@
 {
     return fmt::format(
         R"({{"address":"{}","born":{},"info":{{"service":"desk",)"
-        R"("version":"v1","zone":"addis-a","slots":8}},"status":{{"state":)"
+        R"("version":"v1","zone":"{}","slots":8}},"status":{{"state":)"
         R"("{}","sequence":{},"cold_remaining":"0ms"}}}})",
         to_string(relay_address_),
         born_,
+        zone_of(number_).name,
         state_ == worker_state::draining ? "draining" : "ready",
         state_ == worker_state::draining ? 2 : 1);
 }
@@ -75,6 +91,35 @@
     relay_->cut();
 }
 
+void soak_worker::spoil(stand_ins::endless_answer kind, base::instant end)
+{
+    spoiled_with_ = kind;
+    spoiled_until_ = end;
+}
+
+bool soak_worker::spoils_now()
+{
+    return base::monotonic_clock::now() < spoiled_until_ &&
+           random_() % spoiled_one_in == 0;
+}
+
+asio::awaitable<void> soak_worker::send_without_end(
+    std::shared_ptr<connection> to, std::string id)
+{
+    const auto bytes = stand_ins::make_endless(
+        spoiled_with_,
+        fmt::format("{}: {}\r\n{}: s\r\n", attempt_field, id, signature_field));
+    auto [failure, sent] = co_await asio::async_write(
+        to->socket, asio::buffer(bytes.head), use_tuple);
+    while (!failure)
+    {
+        std::tie(failure, sent) = co_await asio::async_write(
+            to->socket, asio::buffer(bytes.block), use_tuple);
+        to->timer.expires_after(block_pause);
+        co_await to->timer.async_wait(use_tuple);
+    }
+}
+
 void soak_worker::begin_again(std::string id)
 {
     relay_->cut();
@@ -153,6 +198,12 @@
             seen_.broken.push_back("ran twice: " + id);
         }
     }
+    if (mine && spoils_now())
+    {
+        seen_.attempts[id].spoiled = true;
+        asio::co_spawn(loop_, send_without_end(to, id), asio::detached);
+        return;
+    }
     to->answer =
         mine ? fmt::format(
                    "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s\r\nContent-Length: "
--- a/tests/soak/soak_worker.hpp
+++ b/tests/soak/soak_worker.hpp
@@ -6,11 +6,13 @@
 #include <random>
 #include <string>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "base/endpoint.hpp"
 #include "soak/soak_ledger.hpp"
+#include "stand_ins/endless_answer.hpp"
 #include "stand_ins/link/relay.hpp"
 
 namespace waxwingvalve::soak
@@ -32,6 +34,7 @@
 public:
     soak_worker(
         boost::asio::io_context& loop,
+        int number,
         std::string id,
         ledger& seen,
         std::uint64_t seed);
@@ -43,6 +46,8 @@
     std::string entry() const;
 
     void drain() { state_ = worker_state::draining; }
+    // Until `end` some of its answers have no end.
+    void spoil(stand_ins::endless_answer kind, base::instant end);
     // Ends without a word: connections break and new ones are refused.
     void end();
     // Starts a new incarnation, under the same id or another one.
@@ -53,15 +58,22 @@
 private:
     struct connection;
 
+    bool spoils_now();
+    // Sends until the other side closes the connection.
+    boost::asio::awaitable<void> send_without_end(
+        std::shared_ptr<connection> to, std::string id);
     void accept();
     void read(const std::shared_ptr<connection>& from);
     void serve(const std::shared_ptr<connection>& to, const std::string& head);
 
     boost::asio::io_context& loop_;
+    int number_;
     std::string id_;
     ledger& seen_;
     std::mt19937_64 random_;
     tcp::acceptor acceptor_;
+    stand_ins::endless_answer spoiled_with_{};
+    base::instant spoiled_until_{};
     base::endpoint relay_address_{};
     worker_state state_{worker_state::ready};
     int born_{1};
