Soak: one function for each fault

Cause: read as a newcomer would: inject() did some faults in its switch and others in functions, and times were drawn in two ways. Change: pause_daemon, spoil_answers, start_uploads; draw_time everywhere.

--- a/tests/soak/byte_flood.cpp
+++ b/tests/soak/byte_flood.cpp
@@ -27,6 +27,7 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t block_bytes = 64 * 1024;
+constexpr std::size_t field_bytes = 1024;
 constexpr auto flood_time = 3s;
 // Leaves the loop to others.
 constexpr auto block_pause = 1ms;
@@ -68,7 +69,8 @@
         return {"", noise(seed)};
     case flood_kind::head:
         return {
-            request("GET", ""), "X-More: " + std::string(900, 'x') + "\r\n"};
+            request("GET", ""),
+            "X-More: " + std::string(field_bytes, 'x') + "\r\n"};
     case flood_kind::chunks:
         return {
             request("POST", "Transfer-Encoding: chunked\r\n\r\n"),
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -45,6 +45,27 @@
         });
 }
 
+void soak_run::pause_daemon(soak_daemon& one)
+{
+    one.send(SIGSTOP);
+    later(loop_, draw_time(200, 2'500), [&one] { one.send(SIGCONT); });
+}
+
+void soak_run::spoil_answers(soak_worker& of)
+{
+    const auto kind = static_cast<stand_ins::endless_answer>(
+        draw(1, stand_ins::endless_answers - 1));
+    of.spoil(kind, base::monotonic_clock::now() + draw_time(500, 3'000));
+}
+
+void soak_run::start_uploads()
+{
+    for (auto& one : callers_)
+    {
+        one->upload(base::monotonic_clock::now() + draw_time(500, 3'000));
+    }
+}
+
 void soak_run::flood_daemon(const soak_daemon& one)
 {
     for (const auto& port : one.ports())
@@ -68,10 +89,7 @@
         break;
     default:
         path.cut();
-        later(
-            loop_,
-            std::chrono::milliseconds{draw(200, 1'500)},
-            [&of] { of.open_path(); });
+        later(loop_, draw_time(200, 1'500), [&of] { of.open_path(); });
         break;
     }
 }
@@ -103,7 +121,7 @@
     store_.forget_worker(one.id());
     later(
         loop_,
-        std::chrono::milliseconds{draw(2'000, 3'000)},
+        draw_time(2'000, 3'000),
         [this, &one]
         {
             if (one.state() == worker_state::ended)
@@ -138,11 +156,7 @@
         end_daemon(daemon, SIGTERM);
         break;
     case 2:
-        daemon.send(SIGSTOP);
-        later(
-            loop_,
-            std::chrono::milliseconds{draw(200, 2'500)},
-            [&daemon] { daemon.send(SIGCONT); });
+        pause_daemon(daemon);
         break;
     case 3:
         if (daemon.reads_signals())
@@ -164,19 +178,13 @@
         disturb_worker(worker);
         break;
     case 9:
-        worker.spoil(
-            static_cast<stand_ins::endless_answer>(
-                draw(1, stand_ins::endless_answers - 1)),
-            base::monotonic_clock::now() + draw_time(500, 3'000));
+        spoil_answers(worker);
         break;
     case 10:
         flood_daemon(daemon);
         break;
     case 11:
-        for (auto& one : callers_)
-        {
-            one->upload(base::monotonic_clock::now() + draw_time(500, 3'000));
-        }
+        start_uploads();
         break;
     default:
         disturb_path(worker);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -97,7 +97,7 @@
     const auto end = base::monotonic_clock::now() + length;
     later(
         loop_,
-        length - std::chrono::milliseconds{draw(1'000, 4'000)},
+        length - draw_time(1'000, 4'000),
         [this] { store_.keep_copy(); });
     while (base::monotonic_clock::now() < end)
     {
@@ -105,12 +105,12 @@
         {
             inject();
         }
-        run_for(std::chrono::milliseconds{draw(50, 700)});
+        run_for(draw_time(50, 700));
     }
     // The faults end with a loss of writes, else few of the restores would be
     // followed by a time in which configurations are judged.
     store_.go_away(false);
-    run_for(std::chrono::milliseconds{draw(100, 800)});
+    run_for(draw_time(100, 800));
     end_faults();
     run_for(recovery);
     store_.write_next_configuration();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -46,7 +46,10 @@
     void end_daemon(soak_daemon& one, int signal);
     void start_when_gone(
         soak_daemon& one, int process, std::chrono::milliseconds time);
+    void pause_daemon(soak_daemon& one);
     void flood_daemon(const soak_daemon& one);
+    void spoil_answers(soak_worker& of);
+    void start_uploads();
     void disturb_path(soak_worker& of);
     void disturb_worker(soak_worker& one);
     void end_worker(soak_worker& one);
