Soak: what the linter asks for

Cause: clang 14 can't read a reversed view of GCC's library, and a vector grew in a loop. Change: a loop over reverse iterators; the vector reserves.

--- a/tests/soak/soak_daemon.cpp
+++ b/tests/soak/soak_daemon.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <fstream>
-#include <ranges>
 
 #include <unistd.h>
 
@@ -33,6 +32,7 @@
 std::string zone_list()
 {
     std::vector<std::string> listed;
+    listed.reserve(zones.size());
     for (const auto& one : zones)
     {
         listed.push_back(fmt::format(
@@ -162,17 +162,18 @@
 {
     base::duration total{};
     auto until = at;
-    for (const auto& change : changes_until(at) | std::views::reverse)
+    const auto changes = changes_until(at);
+    for (auto change = changes.rbegin(); change != changes.rend(); ++change)
     {
-        if (change.state != daemon_state::paused)
+        if (change->state != daemon_state::paused)
         {
-            total += until - change.at;
+            total += until - change->at;
         }
-        if (change.state == daemon_state::starting)
+        if (change->state == daemon_state::starting)
         {
             break;
         }
-        until = change.at;
+        until = change->at;
     }
     return total;
 }
