Front: a refusal that doesn't say 'not run' promises nothing

Cause: an answer of a worker that is no success is passed on with its status. 408, 421, 429 and 503 promise callers that the request has not run; only the worker's own word can show that (REFUSED). Change: without that word these statuses are not passed on: a request that may run once is answered 502 with code 3010, an idempotent one is sent to another worker. daemon/serving passes the status on as well, but its promise to callers is the outcome field, which says 'done' there.

--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -153,7 +153,13 @@
     }
     execution_ = execution_state::unknown;
     context_.view.record_outcome(*worker, true, now);
-    if (!is_success(answer.status))
+    // Without the worker's word that it hasn't run the request, a status that
+    // promises it is not passed on.
+    const bool unproven = promises_not_run(answer.status);
+    const base::error reason =
+        unproven ? base::error{result_code::outcome_unknown, worker->entry().id}
+                 : base::error{result_code::answer_lost};
+    if (!is_success(answer.status) && !unproven)
     {
         last_answer_ = std::move(answer);
         last_answer_bytes_ = std::move(answer_bytes_);
@@ -162,7 +168,7 @@
         !last_answer_ || last_answer_->status >= status_server_error;
     if (server_failed && route_->idempotent)
     {
-        retry_or_refuse({result_code::answer_lost}, true);
+        retry_or_refuse(reason, true);
         return;
     }
     if (last_answer_)
@@ -170,7 +176,7 @@
         finish(std::move(*last_answer_), "passed_on");
         return;
     }
-    refuse({result_code::answer_lost});
+    refuse(reason);
 }
 
 void request_flow::handle_failure(
--- a/tests/front/worker_answers_test.cpp
+++ b/tests/front/worker_answers_test.cpp
@@ -1,5 +1,6 @@
 // Tests of retries, forwarding and refusals for the ways in which a worker can
 // answer or fail a request.
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "front/front_fixture.hpp"
@@ -129,6 +130,36 @@
     BOOST_TEST(contains(response, "HTTP/1.1 502"));
 }
 
+// Guards against a caller that is told by the status that its request has not
+// run, though the worker says no such thing and has run it.
+BOOST_DATA_TEST_CASE(
+    a_refusal_that_does_not_say_not_run_promises_nothing,
+    boost::unit_test::data::make({408, 429, 503}),
+    status)
+{
+    two_worker_fixture fixture{
+        {.answer =
+             "HTTP/1.1 " + std::to_string(status) +
+             " Busy\r\nAttempt-Id: {id}\r\nContent-Length: 4\r\n\r\nbusy"}};
+    const auto response =
+        fixture.front.exchange(non_idempotent_request("1"), 300ms);
+    BOOST_TEST(contains(response, "HTTP/1.1 502"));
+    BOOST_TEST(contains(response, "3010"));
+    BOOST_TEST(contains(response, "Waxwing-Outcome: unknown"));
+    BOOST_TEST(total_requests(*fixture.a, *fixture.b) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(after_such_a_refusal_an_idempotent_request_is_retried)
+{
+    two_worker_fixture fixture{
+        {.answer = "HTTP/1.1 503 Busy\r\nAttempt-Id: {id}\r\n"
+                   "Content-Length: 0\r\n\r\n"}};
+    const auto response =
+        fixture.front.exchange(idempotent_request("1"), 300ms);
+    BOOST_TEST(contains(response, "HTTP/1.1 200"));
+    BOOST_TEST(total_requests(*fixture.a, *fixture.b) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(truncated_answer_is_not_forwarded)
 {
     two_worker_fixture fixture{
