--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -1,11 +1,15 @@
-#include "soak/soak_world.hpp"
+#include "soak/soak_worker.hpp"
 
-#include <csignal>
-
-#include <fstream>
+#include <algorithm>
+#include <stdexcept>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
@@ -16,70 +20,26 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using namespace std::chrono_literals;
 
 namespace
 {
 
+// Behind the hosts of the daemons.
+constexpr int first_host = 240;
+constexpr std::uint16_t relay_port = 18'167;
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned spoiled_one_in = 5;
+// Leaves the loop to others.
+constexpr std::chrono::milliseconds block_pause{1};
 constexpr std::string_view target_field = "X-Waxwingvalve-Target-Instance";
-constexpr int caller_port = 18'161;
-constexpr int control_port = caller_port + 3;
 
 base::endpoint address_of(const tcp::acceptor& acceptor)
 {
     return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
-std::string address_of(int daemon, int port)
-{
-    return fmt::format("{}:{}", tests::own_host(daemon), port);
-}
-
-std::string settings_of(int number, const base::endpoint& store)
-{
-    return fmt::format(
-        R"({{"schema_version": 1, "name": "entry-{}", "region": "addis",
-"zone": "addis-a", "caller_address": "{}", "readiness_address": "{}",
-"lookup_address": "{}", "control_address": "{}", "peer_port": {},
-"seeds": ["{}", "{}"],
-"zones": [{{"zone": "addis-a", "region": "addis"}}],
-"store_address": "{}", "lookup_lifetime": "1s", "stop_time": "4s",
-"retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 100,
-"log_level": "info"}})",
-        number,
-        address_of(number, caller_port),
-        address_of(number, caller_port + 1),
-        address_of(number, caller_port + 2),
-        address_of(number, control_port),
-        caller_port + 4,
-        address_of(0, control_port),
-        address_of(1, control_port),
-        to_string(store));
-}
-
 } // namespace
 
-std::string value_of(const std::string& head, std::string_view field)
-{
-    const auto at = head.find(fmt::format("{}: ", field));
-    if (at == std::string::npos)
-    {
-        return {};
-    }
-    const auto begin = at + field.size() + 2;
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
-void later(
-    asio::io_context& loop,
-    std::chrono::milliseconds time,
-    std::function<void()> action)
-{
-    auto timer = std::make_shared<asio::steady_timer>(loop, time);
-    timer->async_wait([timer, action = std::move(action)](const error_code&)
-                      { action(); });
-}
-
 struct soak_worker::connection
 {
     connection(tcp::socket from, asio::io_context& loop)
@@ -94,13 +54,15 @@
 };
 
 soak_worker::soak_worker(
-    asio::io_context& loop, std::string id, ledger& seen, std::uint64_t seed)
-    : loop_{loop}, id_{std::move(id)}, seen_{seen}, random_{seed},
-      acceptor_{loop, {asio::ip::address_v4::loopback(), 0}}
+    asio::io_context& loop,
+    int number,
+    std::string id,
+    ledger& seen,
+    std::uint64_t seed)
+    : loop_{loop}, number_{number}, id_{std::move(id)}, seen_{seen},
+      random_{seed}, acceptor_{loop, {asio::ip::address_v4::loopback(), 0}},
+      relay_address_{tests::own_host(first_host + number), relay_port}
 {
-    tcp::acceptor probe{loop, {asio::ip::address_v4::loopback(), 0}};
-    relay_address_ = address_of(probe);
-    probe.close();
     relay_ = std::make_unique<stand_ins::relay>(
         loop, relay_address_, address_of(acceptor_), seed);
     if (!relay_->start())
@@ -114,10 +76,11 @@
 {
     return fmt::format(
         R"({{"address":"{}","born":{},"info":{{"service":"desk",)"
-        R"("version":"v1","zone":"addis-a","slots":8}},"status":{{"state":)"
+        R"("version":"v1","zone":"{}","slots":8}},"status":{{"state":)"
         R"("{}","sequence":{},"cold_remaining":"0ms"}}}})",
         to_string(relay_address_),
         born_,
+        zone_of(number_).name,
         state_ == worker_state::draining ? "draining" : "ready",
         state_ == worker_state::draining ? 2 : 1);
 }
@@ -128,6 +91,35 @@
     relay_->cut();
 }
 
+void soak_worker::spoil(stand_ins::endless_answer kind, base::instant end)
+{
+    spoiled_with_ = kind;
+    spoiled_until_ = end;
+}
+
+bool soak_worker::spoils_now()
+{
+    return base::monotonic_clock::now() < spoiled_until_ &&
+           random_() % spoiled_one_in == 0;
+}
+
+asio::awaitable<void> soak_worker::send_without_end(
+    std::shared_ptr<connection> to, std::string id)
+{
+    const auto bytes = stand_ins::make_endless(
+        spoiled_with_,
+        fmt::format("{}: {}\r\n{}: s\r\n", attempt_field, id, signature_field));
+    auto [failure, sent] = co_await asio::async_write(
+        to->socket, asio::buffer(bytes.head), use_tuple);
+    while (!failure)
+    {
+        std::tie(failure, sent) = co_await asio::async_write(
+            to->socket, asio::buffer(bytes.block), use_tuple);
+        to->timer.expires_after(block_pause);
+        co_await to->timer.async_wait(use_tuple);
+    }
+}
+
 void soak_worker::begin_again(std::string id)
 {
     relay_->cut();
@@ -206,6 +198,12 @@
             seen_.broken.push_back("ran twice: " + id);
         }
     }
+    if (mine && spoils_now())
+    {
+        seen_.attempts[id].spoiled = true;
+        asio::co_spawn(loop_, send_without_end(to, id), asio::detached);
+        return;
+    }
     to->answer =
         mine ? fmt::format(
                    "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s\r\nContent-Length: "
@@ -234,99 +232,4 @@
         });
 }
 
-soak_daemon::soak_daemon(
-    int number,
-    const base::endpoint& store,
-    std::filesystem::path folder,
-    std::filesystem::path program)
-    : number_{number}, folder_{std::move(folder)}, program_{std::move(program)},
-      settings_{folder_ / fmt::format("entry-{}.json", number)}
-{
-    std::ofstream{settings_} << settings_of(number, store);
-    start();
-}
-
-soak_daemon::~soak_daemon()
-{
-    if (running())
-    {
-        send(SIGKILL);
-    }
-    std::error_code ignored;
-    child_.wait(ignored);
-}
-
-void soak_daemon::start()
-{
-    ++starts_;
-    told_to_end_ = false;
-    disturbed_at_ = base::monotonic_clock::now();
-    namespace bp = boost::process;
-    const auto log = folder_ / fmt::format("entry-{}.log", number_);
-    std::FILE* out = std::fopen(log.c_str(), "a");
-    child_ = bp::child{
-        program_.string(),
-        bp::args({"--settings", settings_.string()}),
-        bp::std_in<bp::null, bp::std_out> out,
-        bp::std_err > out,
-        // Else a closed relay's sockets would live on in the daemons.
-        bp::limit_handles};
-    if (out != nullptr)
-    {
-        static_cast<void>(std::fclose(out));
-    }
-}
-
-void soak_daemon::send(int signal)
-{
-    if (!running())
-    {
-        return;
-    }
-    ::kill(child_.id(), signal);
-    told_to_end_ = told_to_end_ || signal == SIGKILL || signal == SIGTERM;
-    if (signal != SIGHUP)
-    {
-        disturbed_at_ = base::monotonic_clock::now();
-    }
-}
-
-bool soak_daemon::running()
-{
-    std::error_code ignored;
-    return child_.running(ignored);
-}
-
-bool soak_daemon::reads_signals()
-{
-    if (!running())
-    {
-        return false;
-    }
-    std::ifstream status{fmt::format("/proc/{}/status", child_.id())};
-    std::string name;
-    while (status >> name && name != "SigBlk:")
-    {
-    }
-    std::uint64_t blocked{};
-    status >> std::hex >> blocked;
-    return (blocked >> (SIGHUP - 1) & 1U) != 0;
-}
-
-std::optional<std::string> soak_daemon::own_end()
-{
-    if (told_to_end_ || running())
-    {
-        return std::nullopt;
-    }
-    const int status = child_.native_exit_code();
-    return WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status))
-                               : fmt::format("status {}", WEXITSTATUS(status));
-}
-
-base::endpoint soak_daemon::callers() const
-{
-    return {tests::own_host(number_), caller_port};
-}
-
 } // namespace waxwingvalve::soak
