Soak: no own end of a daemon is forgotten

A daemon that ended by itself and was started again by a later fault was not reported as having ended, 408 and 421 were not judged as promises, memory was sampled each 20 ms, and a check took bytes without end from workers whose answer had a head of chunks. Change: each process's own end is kept; all four statuses are judged; the kernel's high-water mark is read; only a body that ends with the connection may be cut whole.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -2,6 +2,7 @@
 #include "soak/soak_run.hpp"
 
 #include <algorithm>
+#include <array>
 
 #include <fmt/format.h>
 
@@ -13,6 +14,7 @@
 namespace
 {
 
+constexpr std::array<unsigned, 4> not_run_statuses{408, 421, 429, 503};
 constexpr std::chrono::milliseconds check_span{2'000};
 constexpr std::chrono::milliseconds memory_interval{20};
 // Stated target: of the requests after the faults nearly all are served.
@@ -20,12 +22,14 @@
 
 } // namespace
 
-// A refusal with 503 or 429 says that the request has not run and never will.
+// These statuses say that the request has not run and never will.
 void soak_run::check_refusals()
 {
     for (const auto& [id, record] : seen_.attempts)
     {
-        const bool promised = record.status == 503 || record.status == 429;
+        const bool promised =
+            std::ranges::find(not_run_statuses, record.status) !=
+            not_run_statuses.end();
         if (promised && !record.idempotent && record.runs > 0)
         {
             seen_.broken.push_back("refused as not run, but ran: " + id);
@@ -63,10 +67,10 @@
 {
     for (auto& one : daemons_)
     {
-        if (const auto end = one->own_end())
+        for (const auto& end : one->own_ends())
         {
             seen_.broken.push_back(fmt::format(
-                "entry-{} ended by itself with {}", one->number(), *end));
+                "entry-{} ended by itself with {}", one->number(), end));
         }
     }
 }
@@ -75,7 +79,7 @@
 {
     for (auto& one : daemons_)
     {
-        const auto used = one->running() ? one->resident_bytes() : 0;
+        const auto used = one->running() ? one->peak_bytes() : 0;
         if (used > memory_bytes)
         {
             seen_.broken.push_back(fmt::format(
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -202,8 +202,8 @@
     const bool own = !value_of(answer.head, signature_field).empty();
     // The close of the path to a worker makes a whole answer of a body that
     // ends with the connection.
-    const bool cut_body =
-        record.spoiled && answer.body.find_first_not_of(
+    const bool cut_body = record.body_until_close &&
+                          answer.body.find_first_not_of(
                               stand_ins::endless_content) == std::string::npos;
     const bool wrong =
         answer.status == 200 && (!own || (answer.body != id && !cut_body));
--- a/tests/soak/soak_daemon.cpp
+++ b/tests/soak/soak_daemon.cpp
@@ -5,12 +5,11 @@
 #include <algorithm>
 #include <fstream>
 
-#include <unistd.h>
-
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
 #include "harness/loopback.hpp"
+#include "harness/process_figures.hpp"
 
 namespace waxwingvalve::soak
 {
@@ -94,6 +93,7 @@
 
 void soak_daemon::start()
 {
+    earlier_own_ends_ = own_ends();
     ++starts_;
     told_to_end_ = false;
     note(daemon_state::starting);
@@ -227,9 +227,19 @@
     return (blocked >> (SIGHUP - 1) & 1U) != 0;
 }
 
+std::vector<std::string> soak_daemon::own_ends()
+{
+    auto all = earlier_own_ends_;
+    if (auto last = own_end())
+    {
+        all.push_back(std::move(*last));
+    }
+    return all;
+}
+
 std::optional<std::string> soak_daemon::own_end()
 {
-    if (told_to_end_ || running())
+    if (starts_ == 0 || told_to_end_ || running())
     {
         return std::nullopt;
     }
@@ -249,13 +259,10 @@
     return all;
 }
 
-std::uint64_t soak_daemon::resident_bytes() const
+std::uint64_t soak_daemon::peak_bytes() const
 {
-    std::ifstream sizes{fmt::format("/proc/{}/statm", child_.id())};
-    std::uint64_t all_pages{0};
-    std::uint64_t resident_pages{0};
-    sizes >> all_pages >> resident_pages;
-    return resident_pages * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+    constexpr std::uint64_t bytes_per_kb = 1024;
+    return bytes_per_kb * harness::memory_high_water_kb(child_.id());
 }
 
 base::endpoint soak_daemon::callers() const
--- a/tests/soak/soak_daemon.hpp
+++ b/tests/soak/soak_daemon.hpp
@@ -45,12 +45,13 @@
     // Whether the process has come to block the signals that it reads. Before
     // that, while it is loaded, SIGHUP ends any process.
     bool reads_signals();
-    // How a process that nobody told to end has ended, if it has.
-    std::optional<std::string> own_end();
+    // How the processes that nobody told to end have ended.
+    std::vector<std::string> own_ends();
     base::endpoint callers() const;
     // Where callers, readiness checks, look-ups and control connect.
     std::vector<base::endpoint> ports() const;
-    std::uint64_t resident_bytes() const;
+    // Most memory that the process has used.
+    std::uint64_t peak_bytes() const;
     int number() const { return number_; }
     // Counts the processes, so that two of them can be told apart.
     int starts() const { return starts_; }
@@ -72,12 +73,16 @@
         daemon_state state{};
     };
 
+    // How the last process has ended by itself, if it has.
+    std::optional<std::string> own_end();
     void note(daemon_state state);
     std::span<const state_change> changes_until(base::instant at) const;
     base::duration running_time(base::instant at) const;
 
     int number_;
     int starts_{0};
+    // Of the processes before the last one.
+    std::vector<std::string> earlier_own_ends_{};
     // The process was sent a signal that ends it.
     bool told_to_end_{false};
     base::instant disturbed_at_{};
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -67,8 +67,9 @@
 {
     bool idempotent{};
     int runs{0};
-    // A worker answered with bytes without end.
-    bool spoiled{false};
+    // Its worker sent a body without end, which is whole if the connection
+    // ends.
+    bool body_until_close{false};
     // 0 when the connection ended without an answer.
     unsigned status{0};
     // The number of the daemon that was asked.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-// Daemons of a seed: in turn, and the most that a machine bears in each tenth.
+// Daemons of a seed, in turn; each tenth seed has `most_daemons`.
 constexpr std::array daemon_counts{5, 11, 24};
 constexpr int most_daemons = 60;
 constexpr int seeds_to_most = 10;
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -200,7 +200,8 @@
     }
     if (mine && spoils_now())
     {
-        seen_.attempts[id].spoiled = true;
+        seen_.attempts[id].body_until_close =
+            spoiled_with_ == stand_ins::endless_answer::body_until_close;
         asio::co_spawn(loop_, send_without_end(to, id), asio::detached);
         return;
     }
