Front, Net: an answer is whole, and its head allowed, or it is none

What callers saw: a part of a body as a complete answer, an answer with status 000, and a field whose name holds a blank.

Cause: the kernel reports a reset once. The write of an upload got it and its error was ignored, so that the read saw an orderly end, which completes a body without a length. The parser takes any three digits for a status and joins a line that begins with a blank to the value before it.

Change: the error of a write is kept, and the end of the connection completes an answer only once a pending write has ended without one. A status outside of 100 to 599, a folded line and a length that is given in two ways make an answer malformed, wherever answers are read.

--- a/packages/front/upstream_answers.cpp
+++ b/packages/front/upstream_answers.cpp
@@ -275,13 +275,46 @@
         close();
         return;
     }
-    // An answer without Content-Length is complete only if the connection was
-    // closed with FIN, not with a reset.
-    if (failure == asio::error::eof && reader.end_of_input())
+    if (failure == asio::error::eof)
     {
-        handle_message(self);
+        handle_end_of_input(self);
         return;
     }
+    fail_exchange(failure);
+}
+
+// An answer without Content-Length is complete only if the worker ended the
+// connection in order.
+void upstream_connection::state::handle_end_of_input(
+    const std::shared_ptr<upstream_connection>& self)
+{
+    if (!reader.end_of_input())
+    {
+        fail_exchange(write_failure ? write_failure : asio::error::eof);
+        return;
+    }
+    answer_ended = true;
+    if (!sending)
+    {
+        finish_ended_answer(self);
+    }
+}
+
+// The kernel reports a reset once. If it was reported to a write, the read that
+// follows sees what looks like an orderly end.
+void upstream_connection::state::finish_ended_answer(
+    const std::shared_ptr<upstream_connection>& self)
+{
+    if (write_failure)
+    {
+        fail_exchange(write_failure);
+        return;
+    }
+    handle_message(self);
+}
+
+void upstream_connection::state::fail_exchange(const beast::error_code& failure)
+{
     close();
     reader.stop();
     report(
--- a/packages/front/upstream_connection.cpp
+++ b/packages/front/upstream_connection.cpp
@@ -218,14 +218,22 @@
     asio::async_write(
         socket,
         buffers,
-        [self, body = request.body](const beast::error_code&, std::size_t)
+        [self,
+         body = request.body](const beast::error_code& failure, std::size_t)
         {
             // Errors are handled by the read, which also delivers an answer
             // that the worker may have sent before it closed.
-            self->state_->sending = false;
-            if (!self->state_->handler)
+            auto& s = *self->state_;
+            s.sending = false;
+            s.write_failure = failure;
+            if (!s.handler)
+            {
+                s.drop_request();
+                return;
+            }
+            if (s.answer_ended)
             {
-                self->state_->drop_request();
+                s.finish_ended_answer(self);
             }
         });
 }
--- a/packages/front/upstream_connection_state.hpp
+++ b/packages/front/upstream_connection_state.hpp
@@ -50,6 +50,11 @@
     bool stood_still{false};
     bool closed{false};
     bool sending{false};
+    // Why the connection ended, if a write was told so.
+    boost::beast::error_code write_failure{};
+    // The end of the connection has completed the answer, unless the write that
+    // is pending says that it was a reset.
+    bool answer_ended{false};
     // The latest request was written, at least in part.
     bool request_sent{false};
     bool used_before{false};
@@ -91,6 +96,9 @@
     void handle_read_error(
         const std::shared_ptr<upstream_connection>& self,
         const boost::beast::error_code& failure);
+    void handle_end_of_input(const std::shared_ptr<upstream_connection>& self);
+    void finish_ended_answer(const std::shared_ptr<upstream_connection>& self);
+    void fail_exchange(const boost::beast::error_code& failure);
     void report(exchange_outcome outcome);
     void drop_request();
     void discard_unsent();
--- a/packages/net/message_parser.cpp
+++ b/packages/net/message_parser.cpp
@@ -15,6 +15,10 @@
 namespace
 {
 
+// RFC 9110, section 15.
+constexpr int lowest_status = 100;
+constexpr int highest_status = 599;
+
 std::string_view plain_view(beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -97,6 +101,11 @@
     failure = {};
     if constexpr (!is_request)
     {
+        if (status < lowest_status || status > highest_status)
+        {
+            refuse(message_fault::malformed, failure);
+            return;
+        }
         message_.status = static_cast<unsigned>(status);
     }
 }
@@ -136,7 +145,7 @@
 
 // Two lengths, a list of them, a length beside a chunked body or an encoding
 // that does not end the body mean that two readers of the same bytes can
-// disagree where a request ends (RFC 9112, section 6.3). Beast takes a list
+// disagree where a message ends (RFC 9112, section 6.3). Beast takes a list
 // for its first length and an unknown encoding for no body.
 template <bool is_request>
 void message_parser<is_request>::note_length_field(
@@ -159,7 +168,7 @@
 {
     failure = {};
     head_complete_ = true;
-    if (is_request && (length_fields_ > 1 || !plain_length_))
+    if (length_fields_ > 1 || !plain_length_)
     {
         refuse(message_fault::ambiguous_length, failure);
     }
--- a/packages/net/message_reader.cpp
+++ b/packages/net/message_reader.cpp
@@ -1,6 +1,7 @@
 #include "net/message_reader.hpp"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include <boost/beast/http/error.hpp>
@@ -29,6 +30,23 @@
 // A larger buffer is given back when it is empty.
 constexpr std::size_t kept_buffer_bytes = 8 * 1024;
 
+// A line that begins with a blank continues the value before it, or is a field
+// whose name holds a blank: readers disagree (RFC 9112, section 5.2).
+bool has_folded_line(std::string_view head)
+{
+    constexpr std::string_view blanks{" \t"};
+    for (auto end = head.find("\r\n"); end != std::string_view::npos;
+         end = head.find("\r\n", end + 1))
+    {
+        const auto next = head.substr(end + 2, 1);
+        if (!next.empty() && blanks.find(next) != std::string_view::npos)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 template <bool is_request>
@@ -142,8 +160,15 @@
         const auto body_before = parser_->message().body.size();
         beast::error_code failure;
         const auto used = parser_->put(buffer_.data(), failure);
+        const std::string_view parsed{
+            static_cast<const char*>(buffer_.data().data()), used};
+        const bool folded = !is_request && in_head && has_folded_line(parsed);
         buffer_.consume(used);
         bytes_read_ += used;
+        if (folded)
+        {
+            return refuse(message_fault::malformed);
+        }
         if (failure && failure != http::error::need_more)
         {
             return refuse(parser_->fault_of(failure));
--- a/tests/outside_bytes/outside_bytes_test.cpp
+++ b/tests/outside_bytes/outside_bytes_test.cpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include <fmt/format.h>
+
 #include "base/endpoint.hpp"
 #include "base/time.hpp"
 #include "front/request_fields.hpp"
@@ -238,6 +240,65 @@
     check_pieces<net::request_reader>(valid_requests);
 }
 
+// MIXED: statuses and field names that RFC 9110 does not allow came through.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_status_outside_of_100_to_599_is_refused)
+{
+    const bool held = rc::check(
+        [](std::uint64_t seed)
+        {
+            byte_mutator mutator{seed};
+            const auto status = mutator.number(1'000);
+            const auto bytes = fmt::format(
+                "HTTP/1.1 {:03} X\r\nContent-Length: 0\r\n\r\n", status);
+            net::answer_reader reader;
+            const auto complete = read_all(reader, mutator.cut(bytes));
+            RC_ASSERT(complete == (status >= 100 && status <= 599 ? 1U : 0U));
+        });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_a_field_name_that_is_no_token_is_refused)
+{
+    // RFC 9110, section 5.6.2.
+    constexpr std::string_view token_bytes =
+        "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+    const bool held = rc::check(
+        [&](std::uint64_t seed)
+        {
+            byte_mutator mutator{seed};
+            const auto byte = static_cast<char>(mutator.number(256));
+            RC_PRE(byte != ':' && byte != '\r' && byte != '\n');
+            std::string name{"Odd"};
+            name.insert(mutator.number(name.size() + 1), 1, byte);
+            const auto bytes = "HTTP/1.1 200 OK\r\nA: b\r\n" + name +
+                               ": x\r\nContent-Length: 0\r\n\r\n";
+            const bool token = token_bytes.find(byte) != std::string_view::npos;
+            net::answer_reader reader;
+            const auto complete = read_all(reader, mutator.cut(bytes));
+            RC_ASSERT(complete == (token ? 1U : 0U));
+        });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(a_body_without_a_length_is_complete_at_the_end_alone)
+{
+    const bool held = rc::check(
+        [](std::uint64_t seed)
+        {
+            byte_mutator mutator{seed};
+            const std::string bytes{
+                "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\n\r\nabcdefgh"};
+            const auto head = bytes.find("\r\n\r\n") + 4;
+            const auto size = mutator.number(bytes.size() + 1);
+            net::answer_reader reader;
+            RC_ASSERT(
+                read_all(reader, mutator.cut(bytes.substr(0, size))) == 0U);
+            RC_ASSERT(reader.end_of_input() == (size >= head));
+        });
+    BOOST_TEST(held);
+}
+
 BOOST_AUTO_TEST_CASE(documents_of_the_store_are_read_or_refused)
 {
     check_parser(
