Accounts: a request names its client account by a key

Change: accounts are a part of the configuration, found by a keyed hash of the key. The worker gets the account's name, whatever the caller sent; the key is kept back. Without a key in force: 401; public routes need none. The account's priority replaces the route's, and the homes of both bind. A request with one home that the plan of regions leaves out is sent there, without the limit on changes of region, since it has no choice.

--- a/packages/decision/steering/configuration.hpp
+++ b/packages/decision/steering/configuration.hpp
@@ -1,4 +1,5 @@
-// The steering configuration: routes, services and limits for callers.
+// The steering configuration: routes, services, client accounts and limits for
+// callers.
 #pragma once
 
 #include <chrono>
@@ -8,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "decision/accounts/client_account.hpp"
+
 namespace waxwingvalve::decision::steering
 {
 
@@ -40,6 +43,8 @@
     bool sticky{};
     // Regions that may run the route; empty for all regions.
     std::vector<std::string> home_regions{};
+    // Its requests need no key of a client account.
+    bool is_public{};
 };
 
 struct service_settings
@@ -67,6 +72,8 @@
     std::uint64_t version{};
     std::vector<route> routes{};
     std::map<std::string, service_settings> services{};
+    // If there is one, a request has to name an account by its key.
+    std::vector<accounts::client_account> accounts{};
     caller_limits limits{};
 };
 
--- a/packages/front/fleet_placement.cpp
+++ b/packages/front/fleet_placement.cpp
@@ -21,6 +21,13 @@
 // region has free slots.
 constexpr base::duration unlimited_shift_duration{std::chrono::seconds{4}};
 
+bool has_homes(const placement_request& request)
+{
+    return !request.route->home_regions.empty() ||
+           (request.account != nullptr &&
+            !request.account->home_regions.empty());
+}
+
 } // namespace
 
 bool fleet_view::may_serve(
@@ -52,15 +59,19 @@
 }
 
 bool fleet_view::home_region_allows(
-    const steering::route& route, std::string_view region) const
+    const placement_request& request, std::string_view region)
 {
-    const auto& homes = route.home_regions;
-    return homes.empty() || std::ranges::find(homes, region) != homes.end();
+    const auto allows = [&](const std::vector<std::string>& homes) {
+        return homes.empty() || std::ranges::find(homes, region) != homes.end();
+    };
+    return allows(request.route->home_regions) &&
+           (request.account == nullptr ||
+            allows(request.account->home_regions));
 }
 
 bool fleet_view::may_send(
     const steering::worker& worker,
-    const steering::route& route,
+    const placement_request& request,
     base::instant placed_at,
     base::instant now)
 {
@@ -68,7 +79,7 @@
     const bool known = workers_.find(entry.id).get() == &worker;
     const bool allowed = known && usable(worker) &&
                          !worker.backoff().active(now) &&
-                         home_region_allows(route, region_of(entry.zone));
+                         home_region_allows(request, region_of(entry.zone));
     if (!allowed)
     {
         return false;
@@ -135,16 +146,22 @@
     return true;
 }
 
-// True if no route to the same services has a higher priority.
-bool fleet_view::has_highest_priority(const steering::route& route) const
+// True if no route to the same services has a higher priority. The priority of
+// an account replaces that of the route.
+bool fleet_view::has_highest_priority(const placement_request& request) const
 {
+    const auto& route = *request.route;
+    const auto priority =
+        request.account == nullptr
+            ? route.priority
+            : request.account->priority.value_or(route.priority);
     return std::ranges::all_of(
         route.parts,
         [&](const steering::split_part& part)
         {
             const auto found = highest_priority_.find(part.service);
             return found == highest_priority_.end() ||
-                   route.priority <= found->second;
+                   priority <= found->second;
         });
 }
 
@@ -154,13 +171,15 @@
     steering::worker& worker,
     const placement_request& request,
     std::string_view region,
-    service_state& service,
+    bool limits_shift,
     base::instant now)
 {
     const std::string name{region};
+    auto& service = state_of(request.service);
     auto& limiter = service.region_shift_limiter;
     limiter.seed_shares(service.plan.shares(), now);
     const bool limit_applies =
+        limits_shift &&
         now - service.plan.replaced_at() > unlimited_shift_duration;
     if (limit_applies && !limiter.allows(name, options_.region_step, now))
     {
@@ -179,7 +198,7 @@
     {
         limiter.count(name, options_.region_step, now);
     }
-    else
+    else if (limits_shift)
     {
         limiter.follow(name, now);
     }
@@ -187,6 +206,30 @@
     return true;
 }
 
+std::vector<std::string_view> fleet_view::regions_for(
+    const placement_request& request, const service_state& service) const
+{
+    auto regions = service.plan.region_order(request.object);
+    if (!has_homes(request))
+    {
+        return regions;
+    }
+    // The plan leaves out a region whose capacity others need. A request may
+    // have its only home there.
+    for (const auto& [zone, region] : region_of_zone_)
+    {
+        if (std::ranges::find(regions, region) == regions.end())
+        {
+            regions.emplace_back(region);
+        }
+    }
+    std::erase_if(
+        regions,
+        [&](std::string_view region)
+        { return !home_region_allows(request, region); });
+    return regions;
+}
+
 fleet_view::placement fleet_view::place_among(
     const placement_request& request,
     service_state& service,
@@ -196,15 +239,14 @@
     placement result;
     auto policy = options_.choice;
     policy.max_utilization = service.utilization_limit.value();
-    const bool top_priority = has_highest_priority(*request.route);
+    const bool top_priority = has_highest_priority(request);
     auto& gates = service.spillover_gates;
     const bool local_spillover = gates[members.self().region].open();
-    for (const auto region : service.plan.region_order(request.object))
+    const auto regions = regions_for(request, service);
+    // A request with one home cannot change its region.
+    const bool limits_shift = !has_homes(request) || regions.size() > 1;
+    for (const auto region : regions)
     {
-        if (!home_region_allows(*request.route, region))
-        {
-            continue;
-        }
         // Few load reports arrive from remote regions, so spillover to one also
         // requires that the load of the local region is low.
         const bool spillover =
@@ -220,7 +262,7 @@
         for (const auto& next : ranked)
         {
             const auto& worker = *workers[next.index];
-            if (try_assign(*worker, request, region, service, now))
+            if (try_assign(*worker, request, region, limits_shift, now))
             {
                 result.chosen = worker;
                 return result;
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -89,9 +89,10 @@
     std::map<std::string, std::string> region_of_zone,
     std::uint64_t seed)
     : members{std::move(self), seed}, crash_gossip{seed + 1}, options_{options},
-      region_of_zone_{std::move(region_of_zone)}, split_picker_{seed + 2},
-      cold_worker_limiter_{seed + 5}, rate_limits_{seed + 3},
-      rate_limit_pacer_(seed + 4)
+      region_of_zone_{std::move(region_of_zone)},
+      account_secret_{decision::accounts::draw_secret()},
+      split_picker_{seed + 2}, cold_worker_limiter_{seed + 5},
+      rate_limits_{seed + 3}, rate_limit_pacer_(seed + 4)
 {
 }
 
@@ -103,6 +104,7 @@
     }
     configuration_ = std::move(next);
     routes_ = steering::route_table{configuration_.routes};
+    accounts_ = {configuration_.accounts, account_secret_};
     highest_priority_.clear();
     for (const auto& route : configuration_.routes)
     {
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -4,6 +4,7 @@
 // Not thread-safe: used only from the daemon's event loop.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,7 @@
 
 #include "base/result.hpp"
 #include "base/time.hpp"
+#include "decision/accounts/account_table.hpp"
 #include "decision/steering/cold_news.hpp"
 #include "decision/steering/cold_worker_limiter.hpp"
 #include "decision/steering/cold_zones.hpp"
@@ -51,6 +53,10 @@
     // Maximum change per window in the share of requests that go to a region.
     double region_step{0.15};
     steering::choice_policy choice{};
+    // Whether keys of client accounts stop counting once it is not known for
+    // revocation_time whether the configuration is the newest.
+    bool strict_revocation{false};
+    base::duration revocation_time{std::chrono::seconds{5}};
 };
 
 // Inputs to worker selection for one request.
@@ -61,6 +67,8 @@
     std::string_view object{};
     // Ids of workers that earlier attempts were sent to; these are skipped.
     std::span<const std::string> tried{};
+    // The caller's account, if it has named one.
+    const decision::accounts::client_account* account{};
 };
 
 // Tracks the fleet and assigns requests to workers.
@@ -84,6 +92,22 @@
         return configuration_;
     }
     const steering::route_table& routes() const { return routes_; }
+    const decision::accounts::account_table& accounts() const
+    {
+        return accounts_;
+    }
+
+    // Records that the configuration was the newest at this time.
+    void note_configuration_current(base::instant at)
+    {
+        configuration_current_at_ = std::max(configuration_current_at_, at);
+    }
+    // Whether a key of the configuration may be taken for one in force.
+    bool keys_confirmed(base::instant now) const
+    {
+        return !options_.strict_revocation ||
+               now - configuration_current_at_ <= options_.revocation_time;
+    }
 
     steering::entry_change put_worker(
         steering::worker_entry entry, base::instant now);
@@ -116,7 +140,7 @@
     // of these.
     bool may_send(
         const steering::worker& worker,
-        const steering::route& route,
+        const placement_request& request,
         base::instant placed_at,
         base::instant now);
 
@@ -338,13 +362,19 @@
         service_state& service,
         bool accept_failing,
         base::instant now);
-    bool home_region_allows(
-        const steering::route& route, std::string_view region) const;
+    // Whether the homes of the route and those of the account, if there are
+    // any, both hold the region.
+    static bool home_region_allows(
+        const placement_request& request, std::string_view region);
+    // The regions that may run the request, in order of preference.
+    std::vector<std::string_view> regions_for(
+        const placement_request& request, const service_state& service) const;
+    // `limits_shift`: whether the limit on changes of region applies.
     bool try_assign(
         steering::worker& worker,
         const placement_request& request,
         std::string_view region,
-        service_state& service,
+        bool limits_shift,
         base::instant now);
     void update_request_rate(base::instant now);
     // The pointers are valid until the list of workers changes.
@@ -357,12 +387,15 @@
         const placement_request& request,
         base::instant now);
     std::size_t daemon_count() const;
-    bool has_highest_priority(const steering::route& route) const;
+    bool has_highest_priority(const placement_request& request) const;
 
     fleet_options options_;
     std::map<std::string, std::string> region_of_zone_;
     steering::configuration configuration_;
     steering::route_table routes_;
+    const decision::accounts::table_secret account_secret_;
+    decision::accounts::account_table accounts_;
+    base::instant configuration_current_at_{};
     steering::worker_table workers_;
     discovery_times discovery_{};
     // When a daemon or a worker was heard last.
--- a/packages/front/header_names.hpp
+++ b/packages/front/header_names.hpp
@@ -31,6 +31,8 @@
     // Requests a second that the worker takes from all daemons together. Absent
     // from the answers of a worker without a limit.
     std::string worker_limit{};
+    // Name of the client account whose key the caller sent.
+    std::string account{};
     // Name of the cookie that holds the object id of the request.
     std::string object_cookie{};
 };
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -380,6 +380,8 @@
         service_,
         "object",
         object_,
+        "account",
+        account_ ? account_->name : std::string{},
         "worker",
         tried_workers_.empty() ? std::string{} : tried_workers_.back(),
         "worker_region",
--- a/packages/front/request_fields.cpp
+++ b/packages/front/request_fields.cpp
@@ -57,6 +57,31 @@
     return host.substr(0, host.find(':'));
 }
 
+std::optional<std::string_view> bearer_key(
+    std::span<const net::header_field> fields)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    std::optional<std::string_view> found;
+    for (const auto& [name, value] : fields)
+    {
+        if (!boost::beast::iequals(name, authorization_field))
+        {
+            continue;
+        }
+        const std::string_view text{value};
+        const bool bearer =
+            boost::beast::iequals(text.substr(0, scheme.size()), scheme);
+        if (found || !bearer)
+        {
+            return std::nullopt;
+        }
+        auto key = text.substr(scheme.size());
+        key.remove_prefix(std::min(key.find_first_not_of(' '), key.size()));
+        found = key;
+    }
+    return found;
+}
+
 std::optional<std::chrono::milliseconds> parse_milliseconds(
     std::string_view text)
 {
--- a/packages/front/request_fields.hpp
+++ b/packages/front/request_fields.hpp
@@ -13,6 +13,9 @@
 namespace waxwingvalve::front
 {
 
+// Holds the caller's key, which is never passed on.
+inline constexpr std::string_view authorization_field = "Authorization";
+
 // The value of the field, or an empty text.
 std::string_view header_value(
     std::span<const net::header_field> fields, std::string_view name);
@@ -33,6 +36,11 @@
 std::optional<decision::steering::load_report> parse_load(
     std::string_view text);
 
+// The key of a request in the field Authorization (RFC 6750, section 2.1);
+// nothing if there is no such field, several, or one of another scheme.
+std::optional<std::string_view> bearer_key(
+    std::span<const net::header_field> fields);
+
 // What an answer says of the request rate that its worker takes.
 struct rate_limit_field
 {
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -118,6 +118,12 @@
         refuse({result_code::path_unknown, request_.target});
         return false;
     }
+    if (const auto refusal = authenticate())
+    {
+        ++context_.counts.requests_without_account;
+        refuse({*refusal});
+        return false;
+    }
     digest_ = decision::retries::digest_of(
         host_of(request_), request_.method, request_.target, *body_);
     if (context_.view.crashes.is_poisonous(digest_))
@@ -135,6 +141,27 @@
     return true;
 }
 
+// Returns why the request may not run, if it needs an account and has none.
+std::optional<result_code> request_flow::authenticate()
+{
+    const auto& view = context_.view;
+    if (view.accounts().empty())
+    {
+        return std::nullopt;
+    }
+    keeps_key_back_ = true;
+    if (!route_->is_public && !view.keys_confirmed(received_at_))
+    {
+        return result_code::keys_unconfirmed;
+    }
+    if (const auto key = bearer_key(request_.fields))
+    {
+        account_ = view.accounts().find(*key);
+    }
+    const bool allowed = account_ || route_->is_public;
+    return allowed ? std::nullopt : std::optional{result_code::account_unknown};
+}
+
 base::duration request_flow::time_left() const
 {
     return deadline_ - base::monotonic_clock::now();
@@ -165,6 +192,20 @@
     {
         route_->home_regions = current->home_regions;
     }
+    // If the key was taken away meanwhile, the account keeps its homes.
+    const auto key = bearer_key(request_.fields);
+    const auto account = key ? view.accounts().find(*key) : nullptr;
+    if (account && account_ && account->name == account_->name)
+    {
+        account_ = account;
+    }
+}
+
+placement_request request_flow::placement() const
+{
+    const std::string_view object =
+        route_->sticky && !object_.empty() ? object_ : attempt_id_;
+    return {&*route_, service_, object, tried_workers_, account_.get()};
 }
 
 void request_flow::begin_attempt()
@@ -183,10 +224,7 @@
     }
     adopt_current_homes();
     const auto now = base::monotonic_clock::now();
-    const std::string_view object =
-        route_->sticky && !object_.empty() ? object_ : attempt_id_;
-    auto chosen =
-        context_.view.place({&*route_, service_, object, tried_workers_}, now);
+    auto chosen = context_.view.place(placement(), now);
     if (!chosen)
     {
         end_without_attempt(chosen.error());
@@ -224,6 +262,20 @@
     refuse(reason);
 }
 
+// The fields that the daemon sets itself or keeps back.
+bool request_flow::passed_on(std::string_view name) const
+{
+    const auto& fields = context_.fields;
+    const bool own = boost::beast::iequals(name, fields.deadline) ||
+                     boost::beast::iequals(name, fields.target_worker) ||
+                     boost::beast::iequals(name, fields.account) ||
+                     boost::beast::iequals(name, "Expect");
+    // Without accounts the key is the worker's.
+    const bool key =
+        keeps_key_back_ && boost::beast::iequals(name, authorization_field);
+    return !own && !key;
+}
+
 std::string request_flow::serialize_head(const steering::worker& worker) const
 {
     const auto& fields = context_.fields;
@@ -235,9 +287,7 @@
     bytes += " HTTP/1.1\r\n";
     for (const auto& [name, value] : request_.fields)
     {
-        if (boost::beast::iequals(name, fields.deadline) ||
-            boost::beast::iequals(name, fields.target_worker) ||
-            boost::beast::iequals(name, "Expect"))
+        if (!passed_on(name))
         {
             continue;
         }
@@ -250,6 +300,10 @@
         std::max<std::int64_t>(base::to_milliseconds(time_left()), 1);
     bytes += fmt::format("{}: {}\r\n", fields.deadline, time);
     bytes += fmt::format("{}: {}\r\n", fields.target_worker, worker.entry().id);
+    if (account_)
+    {
+        bytes += fmt::format("{}: {}\r\n", fields.account, account_->name);
+    }
     if (!body_->empty() || request_.method == "POST" ||
         request_.method == "PUT")
     {
@@ -286,7 +340,7 @@
              adopt_current_homes();
              return fits_before_stop() && context_.view.may_send(
                                               *worker,
-                                              *route_,
+                                              placement(),
                                               attempt_started_at_,
                                               base::monotonic_clock::now());
          }},
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,12 +72,16 @@
     };
 
     bool admit();
+    // Finds the account of the caller's key.
+    std::optional<base::result_code> authenticate();
     void adopt_current_homes();
+    placement_request placement() const;
     void begin_attempt();
     // Sets memory aside for the answer; returns false if there is none.
     bool set_aside_answer();
     void send_to(const fleet_view::worker_ptr& worker);
     std::string serialize_head(const steering::worker& worker) const;
+    bool passed_on(std::string_view name) const;
     void count_send();
     void abandon_attempt(upstream_connection& connection);
     void attempt_ended(
@@ -127,6 +132,11 @@
     // A copy, because the configuration may be replaced while the request runs.
     // Its home regions are those of `homes_version_`.
     std::optional<steering::route> route_;
+    // Null if the caller named none. Of the configuration at the receipt, but
+    // for its home regions.
+    std::shared_ptr<const decision::accounts::client_account> account_;
+    // The configuration at the receipt has accounts.
+    bool keeps_key_back_{false};
     // Configuration that was current when the request was read.
     std::uint64_t configuration_version_{};
     // Configuration whose home regions the newest attempt follows.
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -135,6 +135,11 @@
         "requests_unreadable_total",
         "Requests that could not be read.",
         counts.requests_unreadable);
+    add_counter(
+        text,
+        "requests_without_account_total",
+        "Requests refused for want of a key that is in force.",
+        counts.requests_without_account);
     add_counter(
         text,
         "answers_unreadable_total",
--- a/packages/front/request_metrics.hpp
+++ b/packages/front/request_metrics.hpp
@@ -53,6 +53,8 @@
     std::uint64_t health_checks{};
     std::uint64_t health_answers{};
     std::uint64_t requests_unreadable{};
+    // Refused because they name no account by a key in force.
+    std::uint64_t requests_without_account{};
     std::uint64_t answers_unreadable{};
     // Answers over the bounds of one answer.
     std::uint64_t answers_oversized{};
--- a/packages/net/answers.cpp
+++ b/packages/net/answers.cpp
@@ -14,6 +14,7 @@
 enum class http_status : unsigned
 {
     bad_request = 400,
+    unauthorized = 401,
     not_found = 404,
     method_not_allowed = 405,
     request_timeout = 408,
@@ -37,6 +38,8 @@
     case result_code::key_missing:
     case result_code::key_malformed:
         return http_status::bad_request;
+    case result_code::account_unknown:
+        return http_status::unauthorized;
     case result_code::request_header_too_large:
     case result_code::request_framing_too_large:
         return http_status::head_too_large;
@@ -103,6 +106,11 @@
         {std::string{outcome_field}, std::string{to_string(what)}},
         {std::string{code_field},
          fmt::format("{:04}", base::number(reason.code))}};
+    if (reason.code == result_code::account_unknown)
+    {
+        // RFC 9110, section 11.6.1.
+        out.fields.push_back({"WWW-Authenticate", "Bearer"});
+    }
     out.body = boost::json::serialize(body);
     return out;
 }
--- a/packages/schema/front_settings.cpp
+++ b/packages/schema/front_settings.cpp
@@ -159,6 +159,35 @@
     return base::success();
 }
 
+result<void> read_accounts(const wire::front_settingsT& in, front_settings& out)
+{
+    if (!in.revocation_time.empty())
+    {
+        BOOST_OUTCOME_TRY(
+            out.revocation_time,
+            time_at("revocation_time", in.revocation_time));
+    }
+    if (!in.quota_window.empty())
+    {
+        BOOST_OUTCOME_TRY(
+            out.quota_window, time_at("quota_window", in.quota_window));
+    }
+    if (in.quota_overshoot < 0 || in.quota_overshoot > 1)
+    {
+        return invalid(
+            "quota_overshoot", "0 to 1", fmt::format("{}", in.quota_overshoot));
+    }
+    if (in.quota_slack < 0)
+    {
+        return invalid(
+            "quota_slack", "0 or more", fmt::format("{}", in.quota_slack));
+    }
+    out.strict_revocation = in.strict_revocation;
+    out.quota_overshoot = in.quota_overshoot;
+    out.quota_slack = in.quota_slack;
+    return base::success();
+}
+
 result<void> read_places(const wire::front_settingsT& in, front_settings& out)
 {
     out.name = in.name;
@@ -205,6 +234,7 @@
     BOOST_OUTCOME_TRY(read_addresses(in, out));
     BOOST_OUTCOME_TRY(read_bounds(in, out));
     BOOST_OUTCOME_TRY(read_memory(in, out));
+    BOOST_OUTCOME_TRY(read_accounts(in, out));
     BOOST_OUTCOME_TRY(out.log_level, level_at("log_level", in.log_level));
     return out;
 }
--- a/packages/schema/front_settings.hpp
+++ b/packages/schema/front_settings.hpp
@@ -60,6 +60,15 @@
     std::uint64_t caller_bytes{};
     // Callers' connections at one time; 0 for as many as the memory allows.
     std::uint32_t max_connections{};
+    // Whether keys of client accounts are refused once it is not known for
+    // revocation_time whether the configuration in force is the newest.
+    bool strict_revocation{};
+    std::chrono::milliseconds revocation_time{5'000};
+    // In any quota_window the requests of an account may pass its quota by
+    // quota_overshoot, as a share, and by quota_slack requests.
+    std::chrono::milliseconds quota_window{5'000};
+    double quota_overshoot{0.1};
+    double quota_slack{20.0};
 };
 
 // Errors: settings_malformed, settings_invalid.
--- a/tests/front/cold_workers_test.cpp
+++ b/tests/front/cold_workers_test.cpp
@@ -90,13 +90,13 @@
     const auto placed = front.view.place({route, "desk", "object"}, now);
     BOOST_REQUIRE(placed.has_value());
     auto& worker = *placed.value();
-    BOOST_TEST(front.view.may_send(worker, *route, now, now + 1ms));
+    BOOST_TEST(front.view.may_send(worker, {.route = route}, now, now + 1ms));
     front.view.record_cold_time(
         worker,
         {decision::steering::cold_source::peer, now + 2ms, now + 3s},
         now + 2ms);
     // This daemon's list of others isn't complete, so that it has no part.
-    BOOST_TEST(!front.view.may_send(worker, *route, now, now + 3ms));
+    BOOST_TEST(!front.view.may_send(worker, {.route = route}, now, now + 3ms));
 }
 
 // Nobody starves a warm worker because discovery can't be read.
--- a/tests/front/front_fixture.cpp
+++ b/tests/front/front_fixture.cpp
@@ -72,6 +72,7 @@
         .cold_remaining = "Cold-Ms",
         .worker_leaving = "Leaving",
         .worker_limit = "Rate-Limit",
+        .account = "Account",
         .object_cookie = "object"};
 }
 
