Quotas: leases of an account's tokens from one owner

Cause: nothing held an account to its quota over all daemons.

Change: the decision alone. One daemon, the first in the account's rendezvous ranking, owns its token bucket; the others lease tokens for a short time, and wait one round trip where they have none. Weighed and left: a fixed division by members (a small account's callers come to daemons with no part of it), and a debt that is told afterwards (all daemons may get the first request of a flood before one hears of it).

Result: decision_quotas_test, over 11 to 240 daemons: within the bound in floods of seven times the usual, restarts and freezes in turn, cuts of 0.2 to 0.5 of the daemons, a restart of all and a lower limit; 0.005 at most refused below the limit, with callers at all daemons, at one, and moving.

--- /dev/null
+++ b/packages/decision/quotas/quota_holder.cpp
@@ -0,0 +1,329 @@
+#include "decision/quotas/quota_holder.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace waxwingvalve::decision::quotas
+{
+namespace
+{
+
+using seconds = std::chrono::duration<double>;
+
+// Time constant of the moving average of an account's requests.
+constexpr seconds rate_time_constant{1.0};
+// A lease is renewed when less than this part of what it is to hold is left.
+constexpr double renewal_part = 0.5;
+constexpr std::uint32_t max_tokens = std::numeric_limits<std::uint16_t>::max();
+
+std::uint16_t bounded(std::uint32_t tokens)
+{
+    return static_cast<std::uint16_t>(std::min(tokens, max_tokens));
+}
+
+} // namespace
+
+void quota_holder::count_request(account_state& state, base::instant now)
+{
+    state.requests_per_s =
+        rate_of(state, now) + 1.0 / rate_time_constant.count();
+    state.rate_at = now;
+    state.used_at = now;
+}
+
+double quota_holder::rate_of(const account_state& state, base::instant now)
+{
+    const seconds elapsed{now - state.rate_at};
+    return state.requests_per_s * std::exp(-(elapsed / rate_time_constant));
+}
+
+void quota_holder::end_leases(account_state& state, base::instant now)
+{
+    while (!state.leases.empty() && state.leases.front().ends_at <= now)
+    {
+        state.returned += state.leases.front().tokens;
+        state.leases.pop_front();
+    }
+}
+
+std::uint32_t quota_holder::tokens_of(const account_state& state)
+{
+    std::uint32_t sum = 0;
+    for (const auto& one : state.leases)
+    {
+        sum += one.tokens;
+    }
+    return sum;
+}
+
+bool quota_holder::take_token(account_state& state)
+{
+    for (auto& one : state.leases)
+    {
+        if (one.tokens > 0)
+        {
+            --one.tokens;
+            return true;
+        }
+    }
+    return false;
+}
+
+spend_result quota_holder::spend_uncoordinated(
+    account_digest account, account_state& state, base::instant now)
+{
+    const double rate = uncoordinated_share_ * state.limit.requests_per_s;
+    uncoordinated_.set_rate(account, rate, false, now);
+    if (rate > 0 && uncoordinated_.try_acquire(account, now))
+    {
+        return {spend_status::spent, {}};
+    }
+    return {spend_status::unconfirmed, silent_time};
+}
+
+spend_result quota_holder::spend(
+    account_digest account, const quota_limit& limit, base::instant now)
+{
+    auto& state = accounts_[account];
+    state.limit = limit;
+    count_request(state, now);
+    end_leases(state, now);
+    // Those that wait come first.
+    if (state.waiting == 0 && take_token(state))
+    {
+        return {spend_status::spent, {}};
+    }
+    if (now < state.silent_until)
+    {
+        return spend_uncoordinated(account, state, now);
+    }
+    if (now < state.exceeded_until)
+    {
+        return {spend_status::exceeded, state.retry_after};
+    }
+    ++state.waiting;
+    return {spend_status::pending, {}};
+}
+
+bool quota_holder::spend_at_once(account_digest account, base::instant now)
+{
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end())
+    {
+        return false;
+    }
+    end_leases(found->second, now);
+    return found->second.waiting == 0 && take_token(found->second);
+}
+
+void quota_holder::give_back(account_digest account, base::instant now)
+{
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end())
+    {
+        return;
+    }
+    auto& state = found->second;
+    end_leases(state, now);
+    if (state.leases.empty())
+    {
+        ++state.returned;
+        return;
+    }
+    ++state.leases.front().tokens;
+}
+
+void quota_holder::withdraw(account_digest account)
+{
+    const auto found = accounts_.find(account);
+    if (found != accounts_.end() && found->second.waiting > 0)
+    {
+        --found->second.waiting;
+    }
+}
+
+// Tokens beyond those that are here: for the waiting requests, and for those
+// that are likely to come until the next lease.
+std::uint32_t quota_holder::tokens_needed(
+    const account_state& state, base::instant now)
+{
+    const double ahead = rate_of(state, now) * seconds{lease_ahead}.count();
+    const auto tokens = tokens_of(state);
+    // A few requests now and then are not worth a lease ahead.
+    const bool steady = ahead >= 1;
+    const bool low = tokens < renewal_part * ahead;
+    const auto wanted = static_cast<std::uint32_t>(steady ? ahead : 0);
+    if (state.waiting == 0)
+    {
+        return steady && low ? wanted - std::min(wanted, tokens) : 0;
+    }
+    return state.waiting + wanted;
+}
+
+std::optional<quota_holder::due_request> quota_holder::make_due(
+    account_digest account, account_state& state, base::instant now)
+{
+    if (state.asked)
+    {
+        auto& asked = *state.asked;
+        if (now < asked.resend_at)
+        {
+            return std::nullopt;
+        }
+        asked.resend_at = now + resend_time;
+        return due_request{asked.request, asked.candidate};
+    }
+    end_leases(state, now);
+    const auto needed = tokens_needed(state, now);
+    if (needed == 0 || now < state.next_ask_at)
+    {
+        return std::nullopt;
+    }
+    const schema::lease_request request{
+        .account = account,
+        .sequence = ++state.sequence,
+        .wanted_tokens = bounded(needed),
+        .returned_tokens = bounded(std::exchange(state.returned, 0))};
+    state.asked = pending_ask{
+        .request = request,
+        .first_sent_at = now,
+        .resend_at = now + resend_time};
+    return due_request{request, 0};
+}
+
+std::vector<quota_holder::due_request> quota_holder::due_requests(
+    base::instant now)
+{
+    std::vector<due_request> due;
+    for (auto& [account, state] : accounts_)
+    {
+        if (const auto one = make_due(account, state, now))
+        {
+            due.push_back(*one);
+        }
+    }
+    return due;
+}
+
+std::optional<quota_holder::due_request> quota_holder::due_request_of(
+    account_digest account, base::instant now)
+{
+    const auto found = accounts_.find(account);
+    return found == accounts_.end() ? std::nullopt
+                                    : make_due(account, found->second, now);
+}
+
+// The waiting requests of a silent owner's account are paced.
+lease_decision quota_holder::end_wait(
+    account_digest account, account_state& state, base::instant now)
+{
+    lease_decision decision{.account = account};
+    decision.refusal = {spend_status::unconfirmed, silent_time};
+    for (; state.waiting > 0; --state.waiting)
+    {
+        const auto result = spend_uncoordinated(account, state, now);
+        const bool spent = result.status == spend_status::spent;
+        decision.spent += spent ? 1 : 0;
+        decision.refused += spent ? 0 : 1;
+    }
+    return decision;
+}
+
+std::vector<lease_decision> quota_holder::overdue(base::instant now)
+{
+    std::vector<lease_decision> decisions;
+    for (auto& [account, state] : accounts_)
+    {
+        const bool silent =
+            state.asked && now - state.asked->first_sent_at >= answer_time;
+        if (!silent)
+        {
+            continue;
+        }
+        state.asked.reset();
+        state.silent_until = now + silent_time;
+        state.next_ask_at = state.silent_until;
+        if (state.waiting > 0)
+        {
+            decisions.push_back(end_wait(account, state, now));
+        }
+    }
+    return decisions;
+}
+
+std::optional<lease_decision> quota_holder::receive(
+    const schema::lease_grant& grant, base::instant now)
+{
+    const auto found = accounts_.find(grant.account);
+    const bool expected =
+        found != accounts_.end() && found->second.asked &&
+        found->second.asked->request.sequence == grant.sequence;
+    if (!expected)
+    {
+        return std::nullopt;
+    }
+    auto& state = found->second;
+    if (grant.status == schema::lease_status::not_owner)
+    {
+        ++state.asked->candidate;
+        state.asked->resend_at = now;
+        return std::nullopt;
+    }
+    const auto asked = *std::exchange(state.asked, std::nullopt);
+    state.silent_until = {};
+    uncoordinated_.remove(grant.account);
+    if (grant.tokens > 0)
+    {
+        state.leases.push_back(
+            {grant.tokens,
+             asked.first_sent_at + lease_time(state.limit, terms_)});
+        end_leases(state, now);
+    }
+    return divide_grant(grant, asked.request.wanted_tokens, state, now);
+}
+
+// Gives the tokens to the waiting requests, and refuses the others of them if
+// the owner has no more.
+lease_decision quota_holder::divide_grant(
+    const schema::lease_grant& grant,
+    std::uint16_t wanted,
+    account_state& state,
+    base::instant now)
+{
+    lease_decision decision{.account = grant.account};
+    while (state.waiting > 0 && take_token(state))
+    {
+        --state.waiting;
+        ++decision.spent;
+    }
+    const bool short_of_tokens = grant.tokens < wanted;
+    state.next_ask_at = short_of_tokens ? now + ask_interval : now;
+    if (state.waiting > 0 && short_of_tokens)
+    {
+        state.exceeded_until = state.next_ask_at;
+        state.retry_after = std::chrono::milliseconds{grant.retry_after_ms};
+        decision.refusal = {spend_status::exceeded, state.retry_after};
+        decision.refused = std::exchange(state.waiting, 0);
+    }
+    return decision;
+}
+
+void quota_holder::remove_idle(base::instant before)
+{
+    std::erase_if(
+        accounts_,
+        [&](const auto& item)
+        {
+            const auto& state = item.second;
+            const bool idle = state.waiting == 0 && state.used_at < before;
+            if (idle)
+            {
+                uncoordinated_.remove(item.first);
+            }
+            return idle;
+        });
+}
+
+} // namespace waxwingvalve::decision::quotas
--- /dev/null
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -0,0 +1,63 @@
+// Which daemon owns the quota of an account: the first in its rendezvous
+// ranking of the live daemons.
+//
+// Daemons learn of one another at different times. So that two of them do not
+// fill two buckets of one account at the full rate, a daemon owns what it ranks
+// first for only once it has run for long enough to be known, and the one
+// before it goes on until then.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "base/time.hpp"
+#include "decision/quotas/quota_limit.hpp"
+
+namespace waxwingvalve::decision::quotas
+{
+
+// A daemon that is not leaving, as this daemon knows it.
+struct quota_member
+{
+    // Digest of the name.
+    std::uint64_t key{};
+    // Since its heartbeat last advanced; 0 for this daemon.
+    base::duration silence{};
+    // Since it was first heard after its start or after a silence.
+    base::duration known_for{};
+};
+
+struct quota_fleet
+{
+    std::uint64_t self{};
+    // All known daemons, including this one; none that leaves.
+    std::span<const quota_member> members{};
+    // False until the list has had time to fill, and once this daemon leaves.
+    bool settled{};
+};
+
+// A daemon that is silent for longer is not asked.
+inline constexpr base::duration quota_silence{std::chrono::seconds{4}};
+// An owner takes over from the next one in the ranking when it has been known
+// for this long. Long enough that all daemons have heard of it.
+inline constexpr base::duration takeover_time{std::chrono::seconds{4}};
+// Near a takeover both owners fill their buckets at half of the rate.
+inline constexpr base::duration takeover_margin{std::chrono::seconds{2}};
+
+// The heard daemons that may own the account, best first, at most `most`.
+std::vector<std::uint64_t> rank_owners(
+    account_digest account, const quota_fleet& fleet, std::size_t most);
+
+// The part of the account's rate, in [0, 1], at which this daemon may fill its
+// bucket; 0 if another daemon owns the account, or none does because this one
+// does not hear most of the known daemons.
+double owned_share(account_digest account, const quota_fleet& fleet);
+
+// The part of an account's rate that this daemon may send on its own while no
+// owner answers. All of them together stay far below the rate, since an owner
+// that this daemon does not reach may go on granting.
+double uncoordinated_share(const quota_fleet& fleet);
+
+} // namespace waxwingvalve::decision::quotas
--- /dev/null
+++ b/tests/decision/quotas/quota_bound_test.cpp
@@ -0,0 +1,203 @@
+// Tests that all daemons together keep an account within its quota, and refuse
+// next to nothing below it.
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+#include "decision/quotas/quota_fleet.hpp"
+
+using namespace waxwingvalve;
+using namespace waxwingvalve::tests;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+namespace
+{
+
+// Part of the requests below the limit that may be refused.
+constexpr double max_refused = 0.005;
+// A usual load leaves this much of the quota.
+constexpr double usual = 1 / 1.6;
+
+struct fleet_case
+{
+    std::size_t daemons{};
+    double requests_per_s{};
+};
+
+std::ostream& operator<<(std::ostream& stream, const fleet_case& test_case)
+{
+    return stream << test_case.daemons << " daemons, "
+                  << test_case.requests_per_s << "/s";
+}
+
+const fleet_case cases[]{
+    {11, 3.2}, {11, 50}, {61, 3.2}, {61, 50}, {61, 962}, {240, 50}, {240, 962}};
+
+quota_scene scene_of(const fleet_case& what, double load)
+{
+    const double each =
+        load * what.requests_per_s / static_cast<double>(what.daemons);
+    return {
+        .daemons = what.daemons,
+        .limit = {what.requests_per_s, what.requests_per_s},
+        .load = [each](std::size_t, base::duration) { return each; }};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(quota_bounds)
+
+// A caller within its quota was refused by a daemon that had no part of it.
+BOOST_DATA_TEST_CASE(
+    next_to_nothing_is_refused_below_the_limit, data::make(cases))
+{
+    quota_fleet fleet{scene_of(sample, usual)};
+    fleet.play();
+    BOOST_TEST(fleet.refused_share() <= max_refused);
+    BOOST_TEST(
+        fleet.most_in_window(0s) <=
+        quota_fleet::bound({sample.requests_per_s, sample.requests_per_s}));
+}
+
+// hot account: seven times its usual from one moment on, at all daemons.
+BOOST_DATA_TEST_CASE(
+    a_flood_at_all_daemons_stays_within_the_quota, data::make(cases))
+{
+    auto scene = scene_of(sample, usual);
+    const auto steady = scene.load;
+    scene.load = [steady](std::size_t daemon, base::duration at)
+    { return steady(daemon, at) * (at > 5s ? 7 : 1); };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+    // What the quota allows is served.
+    const double quota = sample.requests_per_s * 15;
+    BOOST_TEST(static_cast<double>(fleet.sent()) >= 0.9 * quota);
+}
+
+BOOST_DATA_TEST_CASE(all_callers_at_one_daemon_are_served, data::make(cases))
+{
+    auto scene = scene_of(sample, usual);
+    const double all = usual * sample.requests_per_s;
+    scene.load = [all](std::size_t daemon, base::duration)
+    { return daemon == 7 ? all : 0; };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.refused_share() <= max_refused);
+}
+
+// The callers move to the daemons of another zone every two seconds.
+BOOST_DATA_TEST_CASE(callers_that_move_are_served, data::make(cases))
+{
+    auto scene = scene_of(sample, usual);
+    const double all = usual * sample.requests_per_s;
+    const auto zone = scene.daemons / 6 + 1;
+    scene.load = [=](std::size_t daemon, base::duration at)
+    {
+        const auto here = static_cast<std::size_t>(at / 2s) % 6;
+        return daemon / zone == here ? all / static_cast<double>(zone) : 0.0;
+    };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.refused_share() <= max_refused);
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
+// Every fiftieth datagram is lost.
+BOOST_DATA_TEST_CASE(lost_messages_cost_little, data::make(cases))
+{
+    auto scene = scene_of(sample, usual);
+    scene.loss = 0.02;
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.refused_share() <= max_refused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quota_failures)
+
+namespace
+{
+
+quota_scene flood(const fleet_case& what)
+{
+    return scene_of(what, 7 * usual);
+}
+
+} // namespace
+
+// The owner among them, whichever daemon it is.
+BOOST_DATA_TEST_CASE(
+    daemons_that_restart_in_turn_pass_no_quota, data::make(cases))
+{
+    auto scene = flood(sample);
+    scene.runs = [count = scene.daemons](std::size_t daemon, base::duration at)
+    {
+        const auto turn = 1s + daemon * 15s / count;
+        return at < turn || at > turn + 500ms;
+    };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
+BOOST_DATA_TEST_CASE(
+    daemons_that_freeze_in_turn_pass_no_quota, data::make(cases))
+{
+    auto scene = flood(sample);
+    scene.frozen = [](std::size_t daemon, base::duration at)
+    {
+        const auto turn = 1s + (daemon % 5) * 2s;
+        return at > turn && at < turn + 6s;
+    };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
+// Both sides get callers. The owner is on one of them.
+BOOST_DATA_TEST_CASE(
+    a_cut_passes_no_quota,
+    data::make(cases) * data::make({0.2, 0.35, 0.5}),
+    what,
+    part)
+{
+    auto scene = flood(what);
+    const auto cut =
+        static_cast<std::size_t>(part * static_cast<double>(what.daemons));
+    scene.connected =
+        [cut](std::size_t one, std::size_t other, base::duration at)
+    { return at < 3s || at > 12s || (one < cut) == (other < cut); };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
+BOOST_DATA_TEST_CASE(a_restart_of_all_passes_no_quota, data::make(cases))
+{
+    auto scene = flood(sample);
+    scene.runs = [](std::size_t, base::duration at)
+    { return at < 5s || at > 6s; };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+    BOOST_TEST(fleet.sent() > 0U);
+}
+
+// It binds one window after the daemons know it.
+BOOST_DATA_TEST_CASE(a_lower_limit_binds_after_a_window, data::make(cases))
+{
+    auto scene = flood(sample);
+    const quotas::quota_limit lower{
+        sample.requests_per_s / 2, sample.requests_per_s / 2};
+    scene.limit_at = [lower, before = scene.limit](base::duration at)
+    { return at < 6s ? before : lower; };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(11s) <= quota_fleet::bound(lower));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/decision/quotas/quota_fleet.hpp
@@ -0,0 +1,350 @@
+// Daemons that hold and own the quota of one account, joined by messages with a
+// delay, to test what all of them send together.
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <random>
+#include <vector>
+
+#include "decision/quotas/quota_holder.hpp"
+#include "decision/quotas/quota_owner.hpp"
+#include "decision/quotas/quota_ranking.hpp"
+
+namespace waxwingvalve::tests
+{
+
+namespace quotas = decision::quotas;
+
+struct quota_scene
+{
+    std::size_t daemons{};
+    quotas::quota_limit limit{};
+    // Requests a second at a daemon, this long after the begin.
+    std::function<double(std::size_t daemon, base::duration at)> load{};
+    base::duration length{std::chrono::seconds{20}};
+    // Whether the daemon runs. One that stops and runs again has forgotten all.
+    std::function<bool(std::size_t daemon, base::duration at)> runs{
+        [](std::size_t, base::duration) { return true; }};
+    // It stands still, and remembers all when it goes on.
+    std::function<bool(std::size_t daemon, base::duration at)> frozen{
+        [](std::size_t, base::duration) { return false; }};
+    // Whether messages between the two arrive.
+    std::function<bool(std::size_t one, std::size_t other, base::duration at)>
+        connected{[](std::size_t, std::size_t, base::duration)
+                  { return true; }};
+    // The limit from this time on.
+    std::function<quotas::quota_limit(base::duration at)> limit_at{};
+    // Part of the messages that is lost.
+    double loss{0};
+};
+
+class quota_fleet
+{
+public:
+    static constexpr quotas::quota_terms terms{};
+    // The daemons run and know one another for so long before the load begins.
+    static constexpr base::duration lead{std::chrono::seconds{10}};
+
+    explicit quota_fleet(quota_scene scene) : scene_{std::move(scene)}
+    {
+        if (!scene_.limit_at)
+        {
+            scene_.limit_at = [limit = scene_.limit](base::duration)
+            { return limit; };
+        }
+        for (std::size_t i = 0; i < scene_.daemons; ++i)
+        {
+            daemons_.emplace_back(i, scene_.daemons);
+        }
+    }
+
+    void play()
+    {
+        const auto end = begin + scene_.length;
+        for (now_ = begin - lead; now_ < end; now_ += step)
+        {
+            for (std::size_t i = 0; i < daemons_.size(); ++i)
+            {
+                run_daemon(i);
+            }
+            deliver();
+        }
+    }
+
+    // The most requests in any window that lies in the times.
+    double most_in_window(
+        base::duration from, base::duration until = std::chrono::hours{1}) const
+    {
+        std::size_t first = 0;
+        std::size_t most = 0;
+        for (std::size_t i = 0; i < sent_.size(); ++i)
+        {
+            if (sent_[i] >= begin + until)
+            {
+                break;
+            }
+            while (sent_[first] + terms.window < sent_[i] ||
+                   sent_[first] < begin + from)
+            {
+                if (++first > i)
+                {
+                    break;
+                }
+            }
+            most = first <= i ? std::max(most, i - first + 1) : most;
+        }
+        return static_cast<double>(most);
+    }
+    static double bound(const quotas::quota_limit& limit)
+    {
+        const std::chrono::duration<double> window{terms.window};
+        return (limit.requests_per_s * window.count() + limit.burst) *
+                   (1 + terms.overshoot) +
+               terms.slack;
+    }
+
+    double refused_share() const
+    {
+        const auto all = static_cast<double>(sent_.size() + refused_);
+        return all > 0 ? static_cast<double>(refused_) / all : 0;
+    }
+    std::size_t sent() const { return sent_.size(); }
+    std::size_t refused() const { return refused_; }
+    std::size_t messages() const { return messages_; }
+    // Requests that found no token and waited.
+    std::size_t waited() const { return waited_; }
+
+private:
+    static constexpr std::chrono::milliseconds step{5};
+    static constexpr base::instant begin{std::chrono::hours{2}};
+    static constexpr std::size_t regions = 3;
+    static constexpr quotas::account_digest account = 4711;
+    // How long a heartbeat takes to reach all daemons.
+    static constexpr std::chrono::milliseconds gossip_delay{1'500};
+    static constexpr base::duration settle_time{std::chrono::seconds{3}};
+
+    struct daemon
+    {
+        daemon(std::size_t number, std::size_t count)
+            : holder{terms, number + 1}, owner{terms}, heard(count),
+              known_since(count)
+        {
+        }
+
+        quotas::quota_holder holder;
+        quotas::quota_owner owner;
+        bool running{false};
+        base::instant started_at{};
+        std::vector<base::instant> heard;
+        std::vector<base::instant> known_since;
+    };
+    struct message
+    {
+        base::instant arrives_at{};
+        std::size_t from{};
+        std::size_t to{};
+        schema::lease_request request{};
+        std::optional<schema::lease_grant> grant{};
+    };
+
+    base::duration at() const { return now_ - begin; }
+    bool active(std::size_t i) const
+    {
+        return scene_.runs(i, at()) && !scene_.frozen(i, at());
+    }
+
+    void run_daemon(std::size_t i)
+    {
+        auto& one = daemons_[i];
+        if (!scene_.runs(i, at()))
+        {
+            one.running = false;
+            return;
+        }
+        if (!one.running)
+        {
+            one = daemon{i, daemons_.size()};
+            one.running = true;
+            one.started_at = now_;
+        }
+        if (!active(i))
+        {
+            return;
+        }
+        if (at() % std::chrono::milliseconds{500} == base::duration{})
+        {
+            hear(i);
+            one.holder.set_uncoordinated_share(
+                quotas::uncoordinated_share(view_of(i)));
+        }
+        if (now_ >= begin)
+        {
+            send_requests(i);
+        }
+        for (const auto& decision : one.holder.overdue(now_))
+        {
+            record(decision);
+        }
+        for (const auto& due : one.holder.due_requests(now_))
+        {
+            const auto ranked = quotas::rank_owners(account, view_of(i), 3);
+            if (due.candidate < ranked.size())
+            {
+                post(
+                    {.from = i,
+                     .to = ranked[due.candidate],
+                     .request = due.request});
+            }
+        }
+    }
+
+    // What heartbeats have told: a daemon that ran gossip_delay ago was heard.
+    void hear(std::size_t i)
+    {
+        auto& one = daemons_[i];
+        for (std::size_t j = 0; j < daemons_.size(); ++j)
+        {
+            const auto told = at() - gossip_delay;
+            const bool heard =
+                j == i || (daemons_[j].running && scene_.runs(j, told) &&
+                           !scene_.frozen(j, told) &&
+                           daemons_[j].started_at + gossip_delay <= now_ &&
+                           scene_.connected(i, j, at()));
+            if (!heard)
+            {
+                continue;
+            }
+            const bool again = now_ - one.heard[j] > quotas::quota_silence ||
+                               daemons_[j].started_at > one.known_since[j];
+            one.known_since[j] = again ? now_ : one.known_since[j];
+            one.heard[j] = now_;
+        }
+    }
+
+    quotas::quota_fleet view_of(std::size_t i)
+    {
+        const auto& one = daemons_[i];
+        members_.clear();
+        for (std::size_t j = 0; j < daemons_.size(); ++j)
+        {
+            if (one.heard[j] != base::instant{})
+            {
+                members_.push_back(
+                    {j, now_ - one.heard[j], now_ - one.known_since[j]});
+            }
+        }
+        return {i, members_, now_ - one.started_at >= settle_time};
+    }
+
+    void send_requests(std::size_t i)
+    {
+        const double mean =
+            scene_.load(i, at()) * std::chrono::duration<double>{step}.count();
+        std::poisson_distribution<int> arrivals{mean};
+        const int count = mean > 0 ? arrivals(random_) : 0;
+        for (int n = 0; n < count; ++n)
+        {
+            const auto result =
+                daemons_[i].holder.spend(account, scene_.limit_at(at()), now_);
+            if (result.status == quotas::spend_status::spent)
+            {
+                sent_.push_back(now_);
+            }
+            else if (result.status == quotas::spend_status::pending)
+            {
+                ++waited_;
+            }
+            else
+            {
+                ++refused_;
+            }
+        }
+    }
+
+    void record(const quotas::lease_decision& decision)
+    {
+        sent_.insert(sent_.end(), decision.spent, now_);
+        refused_ += decision.refused;
+    }
+
+    void post(message what)
+    {
+        ++messages_;
+        const bool own = what.from == what.to;
+        if (!own && std::bernoulli_distribution{scene_.loss}(random_))
+        {
+            return;
+        }
+        const bool near = what.from % regions == what.to % regions;
+        const std::chrono::milliseconds delay{own ? 0 : near ? 5 : 40};
+        what.arrives_at = now_ + delay;
+        on_the_way_.push_back(what);
+    }
+
+    void deliver()
+    {
+        for (std::size_t i = 0; i < on_the_way_.size(); ++i)
+        {
+            const auto what = on_the_way_[i];
+            if (what.arrives_at <= now_)
+            {
+                arrive(what);
+            }
+        }
+        std::erase_if(
+            on_the_way_,
+            [&](const message& one) { return one.arrives_at <= now_; });
+    }
+
+    void arrive(const message& what)
+    {
+        const bool reached = daemons_[what.to].running && active(what.to) &&
+                             scene_.connected(what.from, what.to, at());
+        if (!reached)
+        {
+            return;
+        }
+        auto& receiver = daemons_[what.to];
+        if (what.grant)
+        {
+            if (const auto decision =
+                    receiver.holder.receive(*what.grant, now_))
+            {
+                record(*decision);
+            }
+            return;
+        }
+        const double share = quotas::owned_share(account, view_of(what.to));
+        schema::lease_grant grant{
+            .account = account,
+            .sequence = what.request.sequence,
+            .status = schema::lease_status::not_owner};
+        if (share > 0)
+        {
+            const auto incarnation = static_cast<std::uint64_t>(
+                daemons_[what.from].started_at.time_since_epoch().count());
+            grant = receiver.owner.grant(
+                what.request,
+                {what.from, incarnation},
+                scene_.limit_at(at()),
+                share,
+                now_);
+        }
+        post({.from = what.to, .to = what.from, .grant = grant});
+    }
+
+    quota_scene scene_;
+    std::vector<daemon> daemons_;
+    std::vector<quotas::quota_member> members_;
+    std::deque<message> on_the_way_;
+    std::vector<base::instant> sent_;
+    std::size_t refused_{0};
+    std::size_t waited_{0};
+    std::size_t messages_{0};
+    std::mt19937_64 random_{1};
+    base::instant now_{begin};
+};
+
+} // namespace waxwingvalve::tests
--- /dev/null
+++ b/tests/decision/quotas/quota_holder_test.cpp
@@ -0,0 +1,198 @@
+// Tests how a daemon leases and spends the tokens of an account.
+#include <boost/test/unit_test.hpp>
+
+#include "decision/quotas/quota_holder.hpp"
+
+using namespace waxwingvalve::decision::quotas;
+using namespace std::chrono_literals;
+using waxwingvalve::base::instant;
+using waxwingvalve::schema::lease_grant;
+using waxwingvalve::schema::lease_status;
+
+namespace
+{
+
+constexpr account_digest account = 7;
+constexpr quota_limit limit{100, 100};
+
+struct holder_fixture
+{
+    spend_status spend() { return holder.spend(account, limit, now).status; }
+
+    // Answers the request that is due.
+    std::optional<lease_decision> grant(std::uint16_t tokens)
+    {
+        const auto due = holder.due_request_of(account, now);
+        BOOST_REQUIRE(due.has_value());
+        return holder.receive(
+            {.account = account,
+             .sequence = due->request.sequence,
+             .tokens = tokens,
+             .retry_after_ms = 70},
+            now);
+    }
+
+    quota_holder holder{quota_terms{}, 1};
+    instant now{1h};
+};
+
+} // namespace
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(spend_status)
+
+BOOST_FIXTURE_TEST_SUITE(quota_holders, holder_fixture)
+
+BOOST_AUTO_TEST_CASE(a_request_waits_for_a_lease)
+{
+    BOOST_TEST(spend() == spend_status::pending);
+    const auto decision = grant(3);
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision->spent == 1U);
+    BOOST_TEST(spend() == spend_status::spent);
+    BOOST_TEST(spend() == spend_status::spent);
+    BOOST_TEST(spend() == spend_status::pending);
+}
+
+BOOST_AUTO_TEST_CASE(what_the_owner_cannot_grant_is_refused)
+{
+    BOOST_TEST(spend() == spend_status::pending);
+    BOOST_TEST(spend() == spend_status::pending);
+    const auto decision = grant(1);
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision->spent == 1U);
+    BOOST_TEST(decision->refused == 1U);
+    BOOST_TEST((decision->refusal.retry_after == 70ms));
+    // The owner is not asked for each request of a flood.
+    BOOST_TEST(spend() == spend_status::exceeded);
+    BOOST_TEST(!holder.due_request_of(account, now).has_value());
+    now += quota_holder::ask_interval;
+    BOOST_TEST(spend() == spend_status::pending);
+}
+
+// Tokens that were hoarded would be spent in one window.
+BOOST_AUTO_TEST_CASE(a_lease_ends)
+{
+    spend();
+    grant(50);
+    now += lease_time(limit, quota_terms{});
+    BOOST_TEST(spend() == spend_status::pending);
+    const auto due = holder.due_request_of(account, now);
+    BOOST_REQUIRE(due.has_value());
+    BOOST_TEST(due->request.returned_tokens == 49U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_for_a_lease_is_sent_again)
+{
+    spend();
+    const auto first = holder.due_request_of(account, now);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(!holder.due_request_of(account, now).has_value());
+    now += quota_holder::resend_time;
+    const auto again = holder.due_request_of(account, now);
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->request.sequence == first->request.sequence);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_request_is_ignored)
+{
+    spend();
+    BOOST_REQUIRE(holder.due_request_of(account, now).has_value());
+    BOOST_TEST(
+        !holder.receive({.account = account, .sequence = 9, .tokens = 5}, now));
+    BOOST_TEST(
+        !holder.receive({.account = 8, .sequence = 1, .tokens = 5}, now));
+    BOOST_TEST(spend() == spend_status::pending);
+}
+
+BOOST_AUTO_TEST_CASE(the_next_candidate_is_asked_if_one_owns_nothing)
+{
+    spend();
+    const auto first = holder.due_request_of(account, now);
+    BOOST_REQUIRE(first.has_value());
+    holder.receive(
+        {.account = account,
+         .sequence = first->request.sequence,
+         .status = lease_status::not_owner},
+        now);
+    const auto next = holder.due_request_of(account, now);
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST(first->candidate == 0U);
+    BOOST_TEST(next->candidate == 1U);
+}
+
+// Without an answer nobody may wait until the caller's deadline.
+BOOST_AUTO_TEST_CASE(requests_of_a_silent_owner_are_paced)
+{
+    holder.set_uncoordinated_share(0.1);
+    for (int i = 0; i < 20; ++i)
+    {
+        BOOST_TEST(spend() == spend_status::pending);
+    }
+    holder.due_requests(now);
+    BOOST_TEST(holder.overdue(now).empty());
+    now += quota_holder::answer_time;
+    const auto decisions = holder.overdue(now);
+    BOOST_REQUIRE(decisions.size() == 1U);
+    BOOST_TEST(decisions[0].spent <= 1U);
+    BOOST_TEST(decisions[0].spent + decisions[0].refused == 20U);
+    BOOST_TEST((decisions[0].refusal.status == spend_status::unconfirmed));
+    int spent = 0;
+    for (int i = 0; i < 49; ++i)
+    {
+        now += 10ms;
+        spent += spend() == spend_status::spent ? 1 : 0;
+    }
+    BOOST_TEST(spent >= 4);
+    BOOST_TEST(spent <= 6);
+}
+
+BOOST_AUTO_TEST_CASE(a_token_that_was_not_needed_is_spent_by_the_next)
+{
+    spend();
+    grant(1);
+    holder.give_back(account, now);
+    BOOST_TEST(holder.spend_at_once(account, now));
+    BOOST_TEST(!holder.spend_at_once(account, now));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_leaves_takes_no_token)
+{
+    spend();
+    spend();
+    holder.withdraw(account);
+    const auto decision = grant(2);
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST(decision->spent == 1U);
+    BOOST_TEST(holder.spend_at_once(account, now));
+}
+
+// An account with a steady rate would wait at every lease.
+BOOST_AUTO_TEST_CASE(a_steady_account_leases_ahead)
+{
+    int waited = 0;
+    for (int i = 0; i < 400; ++i, now += 10ms)
+    {
+        waited += spend() == spend_status::pending ? 1 : 0;
+        if (const auto due = holder.due_request_of(account, now))
+        {
+            holder.receive(
+                {.account = account,
+                 .sequence = due->request.sequence,
+                 .tokens = due->request.wanted_tokens},
+                now);
+        }
+    }
+    BOOST_TEST(waited <= 20);
+}
+
+BOOST_AUTO_TEST_CASE(accounts_without_requests_are_forgotten)
+{
+    spend();
+    holder.remove_idle(now + 1s);
+    BOOST_TEST(holder.size() == 1U);
+    holder.withdraw(account);
+    holder.remove_idle(now + 1s);
+    BOOST_TEST(holder.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
