Quotas: requests of an account take tokens that daemons lease

Change: front/quota_exchange takes a token for each request of an account with a quota before its first send, and again for a further send once the request may have run. A request that reached no worker, or that its worker refused unrun, gives its token back. Messages go to the address of the heartbeats, told apart by their file identifier. Members tell for how long they have known one another.

--- a/packages/decision/steering/fleet_members.cpp
+++ b/packages/decision/steering/fleet_members.cpp
@@ -8,16 +8,11 @@
 
 namespace waxwingvalve::decision::steering
 {
-namespace
-{
-
-std::uint64_t hash_name(std::string_view name)
+std::uint64_t fleet_members::key_of(std::string_view name)
 {
     return XXH3_64bits(name.data(), name.size());
 }
 
-} // namespace
-
 bool fleet_members::is_live(const entry& one, base::instant now) const
 {
     return now - one.heartbeat_at <= liveness_timeout;
@@ -107,7 +102,7 @@
     const fleet_beat& beat, base::instant now)
 {
     receive_result result;
-    const auto sender = others_.find(hash_name(beat.sender.name));
+    const auto sender = others_.find(key_of(beat.sender.name));
     const bool is_new =
         beat.sender.name != self_.name &&
         (sender == others_.end() ||
@@ -136,11 +131,11 @@
     {
         return;
     }
-    const auto key = hash_name(news.name);
+    const auto key = key_of(news.name);
     const auto known = others_.find(key);
     if (known == others_.end())
     {
-        others_.emplace(key, entry{news, now});
+        others_.emplace(key, entry{news, now, now});
         out.changed.push_back(news.name);
         return;
     }
@@ -153,7 +148,9 @@
     }
     const bool unchanged =
         is_live(current, now) && current.member.leaving == news.leaving;
-    current = {news, now};
+    const bool same_life =
+        is_live(current, now) && current.member.incarnation == news.incarnation;
+    current = {news, now, same_life ? current.live_since : now};
     if (!unchanged)
     {
         out.changed.push_back(news.name);
@@ -166,7 +163,7 @@
     fleet_beat query{.sender = self_};
     for (const auto& count : beat.counts)
     {
-        if (count.key == hash_name(self_.name))
+        if (count.key == key_of(self_.name))
         {
             continue;
         }
@@ -282,6 +279,23 @@
     return members;
 }
 
+std::vector<fleet_members::peer> fleet_members::peers(base::instant now) const
+{
+    std::vector<peer> found;
+    for (const auto& [key, other] : others_)
+    {
+        if (!other.member.leaving)
+        {
+            found.push_back(
+                {key,
+                 other.member.peer_address,
+                 now - other.heartbeat_at,
+                 now - other.live_since});
+        }
+    }
+    return found;
+}
+
 bool fleet_members::others_expected() const
 {
     return std::ranges::any_of(
--- a/packages/decision/steering/fleet_members.hpp
+++ b/packages/decision/steering/fleet_members.hpp
@@ -98,6 +98,19 @@
     // Returns the daemons that are not leaving and were live within
     // removal_timeout, and this one.
     std::vector<known_member> known(base::instant now) const;
+    // Another daemon that is not leaving, live or not.
+    struct peer
+    {
+        std::uint64_t key{};
+        base::endpoint address{};
+        // Since its counter last advanced.
+        base::duration silence{};
+        // Since it was first heard after its start or after a silence.
+        base::duration known_for{};
+    };
+    std::vector<peer> peers(base::instant now) const;
+    // Digest of a daemon's name, the same on every daemon.
+    static std::uint64_t key_of(std::string_view name);
     // Whether the settings name other daemons.
     bool others_expected() const;
     // Returns true once the member list has had time to fill.
@@ -114,6 +127,8 @@
     {
         fleet_member member{};
         base::instant heartbeat_at{};
+        // Live, in this incarnation, since then.
+        base::instant live_since{};
     };
 
     bool is_live(const entry& one, base::instant now) const;
--- a/packages/front/fleet_view.cpp
+++ b/packages/front/fleet_view.cpp
@@ -105,6 +105,16 @@
     configuration_ = std::move(next);
     routes_ = steering::route_table{configuration_.routes};
     accounts_ = {configuration_.accounts, account_secret_};
+    quotas_.clear();
+    for (const auto& account : configuration_.accounts)
+    {
+        const decision::quotas::quota_limit limit{
+            account.requests_per_s, account.burst};
+        if (limit.limited())
+        {
+            quotas_[decision::quotas::digest_of_account(account.name)] = limit;
+        }
+    }
     highest_priority_.clear();
     for (const auto& route : configuration_.routes)
     {
@@ -119,6 +129,13 @@
     return true;
 }
 
+std::optional<decision::quotas::quota_limit> fleet_view::quota_of(
+    decision::quotas::account_digest account) const
+{
+    const auto found = quotas_.find(account);
+    return found == quotas_.end() ? std::nullopt : std::optional{found->second};
+}
+
 bool fleet_view::remove_worker(const std::string& id, base::instant now)
 {
     cold_worker_limiter_.remove_idle(now - std::chrono::minutes{1});
--- a/packages/front/fleet_view.hpp
+++ b/packages/front/fleet_view.hpp
@@ -18,6 +18,7 @@
 #include "base/result.hpp"
 #include "base/time.hpp"
 #include "decision/accounts/account_table.hpp"
+#include "decision/quotas/quota_limit.hpp"
 #include "decision/steering/cold_news.hpp"
 #include "decision/steering/cold_worker_limiter.hpp"
 #include "decision/steering/cold_zones.hpp"
@@ -57,6 +58,7 @@
     // revocation_time whether the configuration is the newest.
     bool strict_revocation{false};
     base::duration revocation_time{std::chrono::seconds{5}};
+    decision::quotas::quota_terms quota{};
 };
 
 // Inputs to worker selection for one request.
@@ -97,6 +99,14 @@
         return accounts_;
     }
 
+    const decision::quotas::quota_terms& quota_terms() const
+    {
+        return options_.quota;
+    }
+    // The quota of an account; nothing if it has none.
+    std::optional<decision::quotas::quota_limit> quota_of(
+        decision::quotas::account_digest account) const;
+
     // Records that the configuration was the newest at this time.
     void note_configuration_current(base::instant at)
     {
@@ -395,6 +405,8 @@
     steering::route_table routes_;
     const decision::accounts::table_secret account_secret_;
     decision::accounts::account_table accounts_;
+    std::map<decision::quotas::account_digest, decision::quotas::quota_limit>
+        quotas_;
     base::instant configuration_current_at_{};
     steering::worker_table workers_;
     discovery_times discovery_{};
--- a/packages/front/peer_heartbeats.cpp
+++ b/packages/front/peer_heartbeats.cpp
@@ -73,13 +73,18 @@
 
 void peer_heartbeats::send(const steering::fleet_members::message& message)
 {
-    const auto bytes = encode(message.beat);
+    send_to(message.to, encode(message.beat));
+}
+
+void peer_heartbeats::send_to(
+    const base::endpoint& to, std::span<const std::uint8_t> bytes)
+{
     boost::system::error_code failure;
-    const auto address = asio::ip::make_address(message.to.address, failure);
+    const auto address = asio::ip::make_address(to.address, failure);
     // A send failure is ignored: it has the same effect as a lost datagram.
     socket_.send_to(
-        asio::buffer(bytes),
-        udp::endpoint{address, message.to.port},
+        asio::buffer(bytes.data(), bytes.size()),
+        udp::endpoint{address, to.port},
         0,
         failure);
 }
@@ -105,18 +110,16 @@
 
 void peer_heartbeats::handle_datagram(std::size_t size)
 {
-    const auto beat =
-        schema::parse_fleet_beat(std::span{datagram_}.first(size));
+    const auto bytes = std::span<const std::uint8_t>{datagram_}.first(size);
+    if (schema::is_quota_message(bytes))
+    {
+        handle_quota_message(bytes);
+        return;
+    }
+    const auto beat = schema::parse_fleet_beat(bytes);
     if (!beat)
     {
-        base::log_event(
-            base::log_level::warning,
-            base::log_channel::membership,
-            "heartbeat_refused",
-            "from",
-            sender_.address().to_string(),
-            "reason",
-            to_string(beat.error()));
+        log_refused(beat.error());
         return;
     }
     const auto now = base::monotonic_clock::now();
@@ -149,6 +152,30 @@
     }
 }
 
+void peer_heartbeats::handle_quota_message(std::span<const std::uint8_t> bytes)
+{
+    const auto message = schema::parse_quota_message(bytes);
+    if (!message)
+    {
+        log_refused(message.error());
+        return;
+    }
+    quota_handler_(
+        message.value(), {sender_.address().to_string(), sender_.port()});
+}
+
+void peer_heartbeats::log_refused(const base::error& reason) const
+{
+    base::log_event(
+        base::log_level::warning,
+        base::log_channel::membership,
+        "heartbeat_refused",
+        "from",
+        sender_.address().to_string(),
+        "reason",
+        to_string(reason));
+}
+
 void peer_heartbeats::tell_cold_workers(
     std::span<const schema::cold_worker> workers)
 {
--- a/packages/front/peer_heartbeats.hpp
+++ b/packages/front/peer_heartbeats.hpp
@@ -4,7 +4,9 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <span>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -14,6 +16,7 @@
 #include "base/result.hpp"
 #include "front/fleet_view.hpp"
 #include "schema/fleet.hpp"
+#include "schema/quota.hpp"
 
 namespace waxwingvalve::front
 {
@@ -33,6 +36,16 @@
     // Starts to send and receive. Other daemons then name this one to callers.
     void start();
 
+    // Called with each message about quotas that comes to the same address.
+    void on_quota_message(
+        std::function<void(
+            const schema::quota_message&, const base::endpoint& from)> handler)
+    {
+        quota_handler_ = std::move(handler);
+    }
+    // Sends a datagram. One that can't be sent is lost.
+    void send_to(const base::endpoint& to, std::span<const std::uint8_t> bytes);
+
     // Sends one round of heartbeats immediately.
     void send_round();
 
@@ -44,6 +57,8 @@
     void send(const steering::fleet_members::message& message);
     void receive();
     void handle_datagram(std::size_t size);
+    void handle_quota_message(std::span<const std::uint8_t> bytes);
+    void log_refused(const base::error& reason) const;
     void handle_cold_workers(const schema::fleet_beat& beat, base::instant now);
     void handle_crash_news(const schema::fleet_beat& beat, base::instant now);
     void schedule();
@@ -52,6 +67,8 @@
     boost::asio::ip::udp::socket socket_;
     boost::asio::steady_timer timer_;
     boost::asio::ip::udp::endpoint sender_;
+    std::function<void(const schema::quota_message&, const base::endpoint&)>
+        quota_handler_{[](const auto&, const auto&) {}};
     std::array<std::uint8_t, 8 * 1024> datagram_{};
 };
 
--- /dev/null
+++ b/packages/front/quota_exchange.cpp
@@ -0,0 +1,275 @@
+#include "front/quota_exchange.hpp"
+
+#include <map>
+#include <utility>
+
+namespace waxwingvalve::front
+{
+
+namespace quotas = decision::quotas;
+using decision::accounts::client_account;
+using quotas::spend_status;
+
+namespace
+{
+
+// The list of members is read again after this time.
+constexpr std::chrono::milliseconds members_lifetime{200};
+// Daemons of an account's ranking that are asked in turn.
+constexpr std::size_t max_candidates = 3;
+
+quotas::quota_limit limit_of(const client_account& account)
+{
+    return {account.requests_per_s, account.burst};
+}
+
+} // namespace
+
+quota_exchange::quota_exchange(
+    boost::asio::io_context& loop, fleet_view& view, request_metrics& counts)
+    : view_{view}, counts_{counts},
+      holder_{view.quota_terms(), view.members.self().incarnation},
+      owner_{view.quota_terms()}, timer_{loop}
+{
+}
+
+quotas::quota_fleet quota_exchange::fleet(base::instant now)
+{
+    const auto& members = view_.members;
+    const auto self = members.key_of(members.self().name);
+    if (now - members_read_at_ >= members_lifetime)
+    {
+        members_read_at_ = now;
+        members_ = {{self, {}, base::duration::max()}};
+        addresses_.clear();
+        for (const auto& peer : members.peers(now))
+        {
+            members_.push_back({peer.key, peer.silence, peer.known_for});
+            addresses_[peer.key] = peer.address;
+        }
+    }
+    // Alone among daemons that should be there, it knows nothing of the others.
+    const bool alone = members_.size() == 1 && members.others_expected();
+    const bool settled =
+        members.settled(now) && !members.self().leaving && !alone;
+    return {self, members_, settled};
+}
+
+schema::quota_message quota_exchange::make_message() const
+{
+    const auto& self = view_.members.self();
+    return {
+        .sender = view_.members.key_of(self.name),
+        .incarnation = self.incarnation};
+}
+
+quotas::spend_result quota_exchange::acquire(
+    const client_account& account, const std::shared_ptr<quota_wait>& wait)
+{
+    const auto now = base::monotonic_clock::now();
+    const auto digest = quotas::digest_of_account(account.name);
+    holder_.set_uncoordinated_share(quotas::uncoordinated_share(fleet(now)));
+    const auto result = holder_.spend(digest, limit_of(account), now);
+    if (result.status == spend_status::pending)
+    {
+        ++counts_.quota_waits;
+        waits_[digest].push_back(wait);
+        ask_for(digest, now);
+    }
+    schedule_check();
+    return result;
+}
+
+bool quota_exchange::acquire_at_once(const client_account& account)
+{
+    return holder_.spend_at_once(
+        quotas::digest_of_account(account.name), base::monotonic_clock::now());
+}
+
+void quota_exchange::give_back(const client_account& account)
+{
+    holder_.give_back(
+        quotas::digest_of_account(account.name), base::monotonic_clock::now());
+}
+
+void quota_exchange::withdraw(const client_account& account)
+{
+    holder_.withdraw(quotas::digest_of_account(account.name));
+}
+
+void quota_exchange::ask_for(account_digest account, base::instant now)
+{
+    if (const auto due = holder_.due_request_of(account, now))
+    {
+        send_due({&*due, 1}, now);
+    }
+}
+
+// Sends each request to the daemon that is to be asked; those that this daemon
+// owns are answered here.
+void quota_exchange::send_due(
+    std::span<const quotas::quota_holder::due_request> due, base::instant now)
+{
+    const auto known = fleet(now);
+    const quotas::lease_holder self{
+        known.self, view_.members.self().incarnation};
+    std::map<std::uint64_t, schema::quota_message> messages;
+    std::vector<schema::lease_grant> own_grants;
+    for (const auto& [request, candidate] : due)
+    {
+        const auto ranked =
+            quotas::rank_owners(request.account, known, max_candidates);
+        if (candidate >= ranked.size())
+        {
+            continue;
+        }
+        const auto asked = ranked[candidate];
+        if (asked == known.self)
+        {
+            own_grants.push_back(answer(request, self, now));
+            continue;
+        }
+        auto& message =
+            messages.try_emplace(asked, make_message()).first->second;
+        message.requests.push_back(request);
+        if (message.requests.size() == schema::max_leases_per_message)
+        {
+            send(addresses_[asked], message);
+            message.requests.clear();
+        }
+    }
+    for (const auto& [asked, message] : messages)
+    {
+        if (!message.requests.empty())
+        {
+            send(addresses_[asked], message);
+        }
+    }
+    for (const auto& grant : own_grants)
+    {
+        receive(grant, now);
+    }
+}
+
+void quota_exchange::send(
+    const base::endpoint& to, const schema::quota_message& message)
+{
+    ++counts_.quota_messages;
+    send_(to, schema::encode(message));
+}
+
+schema::lease_grant quota_exchange::answer(
+    const schema::lease_request& request,
+    const quotas::lease_holder& holder,
+    base::instant now)
+{
+    const auto limit = view_.quota_of(request.account);
+    const double share = quotas::owned_share(request.account, fleet(now));
+    if (!limit || share <= 0)
+    {
+        return {
+            .account = request.account,
+            .sequence = request.sequence,
+            .status = schema::lease_status::not_owner};
+    }
+    return owner_.grant(request, holder, *limit, share, now);
+}
+
+void quota_exchange::handle(
+    const schema::quota_message& message, const base::endpoint& from)
+{
+    const auto now = base::monotonic_clock::now();
+    auto reply = make_message();
+    for (const auto& request : message.requests)
+    {
+        if (reply.grants.size() == schema::max_leases_per_message)
+        {
+            break;
+        }
+        reply.grants.push_back(
+            answer(request, {message.sender, message.incarnation}, now));
+    }
+    if (!reply.grants.empty())
+    {
+        send(from, reply);
+    }
+    for (const auto& grant : message.grants)
+    {
+        receive(grant, now);
+    }
+}
+
+void quota_exchange::receive(
+    const schema::lease_grant& grant, base::instant now)
+{
+    if (const auto decision = holder_.receive(grant, now))
+    {
+        apply(*decision);
+    }
+    // The next candidate, or the requests that came meanwhile.
+    ask_for(grant.account, now);
+}
+
+void quota_exchange::apply(const quotas::lease_decision& decision)
+{
+    auto& waiting = waits_[decision.account];
+    auto left = decision.spent + decision.refused;
+    auto spent = decision.spent;
+    while (left > 0 && !waiting.empty())
+    {
+        const auto wait = waiting.front().lock();
+        waiting.pop_front();
+        if (!wait)
+        {
+            continue;
+        }
+        const bool gets_token = spent > 0;
+        spent -= gets_token ? 1 : 0;
+        --left;
+        wait->end(
+            gets_token ? quotas::spend_result{spend_status::spent, {}}
+                       : decision.refusal);
+    }
+    if (waits_[decision.account].empty())
+    {
+        waits_.erase(decision.account);
+    }
+}
+
+void quota_exchange::check()
+{
+    const auto now = base::monotonic_clock::now();
+    for (const auto& decision : holder_.overdue(now))
+    {
+        apply(decision);
+    }
+    send_due(holder_.due_requests(now), now);
+    holder_.remove_idle(now - idle_time);
+    owner_.remove_idle(now - idle_time);
+}
+
+void quota_exchange::schedule_check()
+{
+    if (check_scheduled_)
+    {
+        return;
+    }
+    check_scheduled_ = true;
+    timer_.expires_after(check_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& cancelled)
+        {
+            check_scheduled_ = false;
+            if (cancelled)
+            {
+                return;
+            }
+            check();
+            if (holder_.size() > 0)
+            {
+                schedule_check();
+            }
+        });
+}
+
+} // namespace waxwingvalve::front
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -129,6 +129,7 @@
     {
         // No proof that this request did not run.
         execution_ = execution_state::unknown;
+        quota_held_ = false;
         context_.view.record_outcome(*worker, worker_incarnation_, true, now);
         refuse({result_code::answer_mismatched, worker->entry().id});
         return;
@@ -142,11 +143,13 @@
     }
     if (refused)
     {
+        // It has not run there, and its token stays.
         const bool full = worker->load(now) >= worker->slots();
         context_.view.record_outcome(*worker, worker_incarnation_, !full, now);
         retry_or_refuse({result_code::shed_by_upstream}, true);
         return;
     }
+    quota_held_ = false;
     const bool signed_by_worker =
         net::find_field(answer.fields, context_.fields.signature).has_value();
     if (signed_by_worker)
@@ -227,6 +230,7 @@
         return;
     }
     execution_ = execution_state::unknown;
+    quota_held_ = false;
     if (outcome.status == exchange_status::invalid_answer)
     {
         ++context_.counts.answers_unreadable;
@@ -333,7 +337,11 @@
     {
         answer.status = status_bad_gateway;
     }
-    if (not_run && answer.status >= status_server_error)
+    if (reason.code == result_code::quota_exceeded)
+    {
+        set_exact_retry_after(answer, quota_retry_after_);
+    }
+    else if (not_run && answer.status >= status_server_error)
     {
         set_retry_after(
             answer,
@@ -351,6 +359,7 @@
     }
     done_ = true;
     timer_.cancel();
+    release_quota();
     ++context_.counts.ends[std::string{end}];
     context_.counts.answer_latency.add(
         base::monotonic_clock::now() - received_at_);
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -18,6 +18,7 @@
 using base::log_channel;
 using base::log_level;
 using base::result_code;
+using decision::quotas::spend_status;
 
 namespace
 {
@@ -69,6 +70,7 @@
 request_flow::~request_flow()
 {
     release_worker();
+    release_quota();
 }
 
 bool request_flow::repeatable() const
@@ -94,7 +96,74 @@
                 self->time_out();
             }
         });
-    begin_attempt();
+    acquire_quota();
+}
+
+void request_flow::acquire_quota()
+{
+    if (!account_ || account_->requests_per_s <= 0)
+    {
+        begin_attempt();
+        return;
+    }
+    quota_wait_ = std::make_shared<quota_wait>();
+    quota_wait_->end =
+        [weak = weak_from_this()](const decision::quotas::spend_result& result)
+    {
+        if (const auto self = weak.lock())
+        {
+            self->quota_wait_.reset();
+            self->handle_quota(result);
+        }
+    };
+    const auto result = context_.quota.acquire(*account_, quota_wait_);
+    if (result.status != spend_status::pending)
+    {
+        quota_wait_.reset();
+        handle_quota(result);
+    }
+}
+
+void request_flow::handle_quota(const decision::quotas::spend_result& result)
+{
+    if (result.status == spend_status::spent)
+    {
+        quota_held_ = true;
+        begin_attempt();
+        return;
+    }
+    const bool exceeded = result.status == spend_status::exceeded;
+    ++(exceeded ? context_.counts.quota_exceeded
+                : context_.counts.quota_unconfirmed);
+    quota_retry_after_ = result.retry_after;
+    refuse(
+        {exceeded ? result_code::quota_exceeded
+                  : result_code::quota_unconfirmed,
+         account_->name});
+}
+
+bool request_flow::holds_quota()
+{
+    if (account_ && account_->requests_per_s > 0 && !quota_held_)
+    {
+        quota_held_ = context_.quota.acquire_at_once(*account_);
+        return quota_held_;
+    }
+    return true;
+}
+
+void request_flow::release_quota()
+{
+    if (quota_wait_)
+    {
+        quota_wait_.reset();
+        context_.quota.withdraw(*account_);
+    }
+    if (quota_held_)
+    {
+        quota_held_ = false;
+        context_.quota.give_back(*account_);
+    }
 }
 
 void request_flow::reject(const base::error& reason, responder respond)
@@ -401,6 +470,7 @@
     if (connection.request_sent())
     {
         execution_ = execution_state::unknown;
+        quota_held_ = false;
         count_send();
     }
     connection.abandon();
@@ -412,7 +482,7 @@
     const auto now = base::monotonic_clock::now();
     const bool retry =
         !caller_gone_ && sends_ < route_->max_attempts &&
-        time_left() > min_time_for_attempt &&
+        time_left() > min_time_for_attempt && holds_quota() &&
         (!costs_budget || context_.view.spend_retry(service_, now));
     if (retry)
     {
@@ -473,6 +543,7 @@
         abandon_attempt(*connection);
     }
     release_worker();
+    release_quota();
     log_end("caller_gone", 0);
 }
 
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -74,6 +74,14 @@
     bool admit();
     // Finds the account of the caller's key.
     std::optional<base::result_code> authenticate();
+    // Takes a token of the account's quota, or waits for it, and begins the
+    // first attempt.
+    void acquire_quota();
+    void handle_quota(const decision::quotas::spend_result& result);
+    // Whether a further send may be made: the token of an earlier one may be
+    // spent.
+    bool holds_quota();
+    void release_quota();
     void adopt_current_homes();
     placement_request placement() const;
     void begin_attempt();
@@ -135,6 +143,11 @@
     // Null if the caller named none. Of the configuration at the receipt, but
     // for its home regions.
     std::shared_ptr<const decision::accounts::client_account> account_;
+    // A token of the account's quota is taken for the next send.
+    bool quota_held_{false};
+    // Not null while the request waits for a token.
+    std::shared_ptr<quota_wait> quota_wait_;
+    base::duration quota_retry_after_{};
     // The configuration at the receipt has accounts.
     bool keeps_key_back_{false};
     // Configuration that was current when the request was read.
--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -140,6 +140,26 @@
         "requests_without_account_total",
         "Requests refused for want of a key that is in force.",
         counts.requests_without_account);
+    add_counter(
+        text,
+        "quota_exceeded_total",
+        "Requests refused because their account has used its quota.",
+        counts.quota_exceeded);
+    add_counter(
+        text,
+        "quota_unconfirmed_total",
+        "Requests refused because no owner of their quota answers.",
+        counts.quota_unconfirmed);
+    add_counter(
+        text,
+        "quota_waits_total",
+        "Requests that waited for a token of their account.",
+        counts.quota_waits);
+    add_counter(
+        text,
+        "quota_messages_total",
+        "Messages about quotas sent to other daemons.",
+        counts.quota_messages);
     add_counter(
         text,
         "answers_unreadable_total",
--- a/packages/front/request_metrics.hpp
+++ b/packages/front/request_metrics.hpp
@@ -55,6 +55,13 @@
     std::uint64_t requests_unreadable{};
     // Refused because they name no account by a key in force.
     std::uint64_t requests_without_account{};
+    // Refused because their account has used its quota, or because no owner of
+    // the quota answers.
+    std::uint64_t quota_exceeded{};
+    std::uint64_t quota_unconfirmed{};
+    // Requests that waited for a token.
+    std::uint64_t quota_waits{};
+    std::uint64_t quota_messages{};
     std::uint64_t answers_unreadable{};
     // Answers over the bounds of one answer.
     std::uint64_t answers_oversized{};
--- a/packages/front/retry_after.cpp
+++ b/packages/front/retry_after.cpp
@@ -55,6 +55,13 @@
                 std::max(jitter_s, jitter_share * wait_s.count()) * spread));
 }
 
+void set_exact_retry_after(net::http_response& answer, base::duration wait)
+{
+    const std::chrono::duration<double> wait_s{wait};
+    net::set_field(
+        answer.fields, field_name, fmt::format("{:.3f}", wait_s.count()));
+}
+
 std::optional<base::duration> parse_retry_after(
     std::span<const net::header_field> fields)
 {
--- a/packages/front/retry_after.hpp
+++ b/packages/front/retry_after.hpp
@@ -20,6 +20,9 @@
     std::string_view attempt_id,
     base::duration wait = {});
 
+// Sets Retry-After, in seconds, to `wait`.
+void set_exact_retry_after(net::http_response& answer, base::duration wait);
+
 // The longest time that the fields Retry-After name. Fractions of a second
 // count; a field that is negative, a date or no number says nothing.
 std::optional<base::duration> parse_retry_after(
--- a/packages/front/serving_context.hpp
+++ b/packages/front/serving_context.hpp
@@ -8,6 +8,7 @@
 #include "front/body_memory.hpp"
 #include "front/fleet_view.hpp"
 #include "front/header_names.hpp"
+#include "front/quota_exchange.hpp"
 #include "front/request_metrics.hpp"
 #include "front/upstream_pool.hpp"
 
@@ -25,6 +26,7 @@
     request_metrics& counts;
     decision::limits::answer_sizes answer_sizes{};
     decision::drains::stop_admission stop{};
+    quota_exchange quota{loop, view, counts};
 };
 
 } // namespace waxwingvalve::front
--- a/packages/net/answers.cpp
+++ b/packages/net/answers.cpp
@@ -21,6 +21,7 @@
     conflict = 409,
     content_too_large = 413,
     unprocessable = 422,
+    too_many_requests = 429,
     head_too_large = 431,
     bad_gateway = 502,
     unavailable = 503,
@@ -38,6 +39,8 @@
     case result_code::key_missing:
     case result_code::key_malformed:
         return http_status::bad_request;
+    case result_code::quota_exceeded:
+        return http_status::too_many_requests;
     case result_code::account_unknown:
         return http_status::unauthorized;
     case result_code::request_header_too_large:
