--- a/tests/front/fleet_fixture.cpp
+++ b/tests/front/fleet_fixture.cpp
@@ -57,6 +57,14 @@
           server{serving},
           heartbeats{loop, view}, health{serving, heartbeats}, timer{loop}
     {
+        heartbeats.on_quota_message([this](
+                                        const schema::quota_message& message,
+                                        const base::endpoint& from)
+                                    { serving.quota.handle(message, from); });
+        serving.quota.on_send(
+            [this](
+                const base::endpoint& to, std::span<const std::uint8_t> bytes)
+            { heartbeats.send_to(to, bytes); });
         health.start();
         view.adopt(test_configuration());
     }
@@ -161,6 +169,20 @@
     }
 }
 
+void fleet_fixture::set_account(
+    const decision::accounts::client_account& account)
+{
+    account_fields_ =
+        fmt::format("Authorization: Bearer {}\r\n", account.keys.front());
+    for (auto& one : daemons_)
+    {
+        auto next = one->view.configuration();
+        ++next.version;
+        next.accounts = {account};
+        one->view.adopt(std::move(next));
+    }
+}
+
 void fleet_fixture::call(daemon& to)
 {
     ++callers_.sent;
@@ -168,8 +190,9 @@
     from->request = idempotent_request(
         std::to_string(callers_.sent),
         fmt::format(
-            "Connection: close\r\nCookie: object={}\r\n",
-            random_() % object_count));
+            "Connection: close\r\nCookie: object={}\r\n{}",
+            random_() % object_count,
+            account_fields_));
     // Not by a blocking call, which would stop all daemons while the kernel
     // tries again.
     from->socket.async_connect(
--- a/tests/front/fleet_fixture.hpp
+++ b/tests/front/fleet_fixture.hpp
@@ -71,6 +71,9 @@
     // From now on no daemon can read discovery.
     void lose_discovery();
 
+    // All callers belong to this account from now on.
+    void set_account(const decision::accounts::client_account& account);
+
     // Each daemon gets a request from a new caller every `interval`.
     void start_callers(
         std::chrono::milliseconds interval,
@@ -106,6 +109,8 @@
     std::mt19937_64 random_{1};
     caller_counts callers_{};
     std::vector<std::string> refusals_;
+    // Fields of the callers' requests, each with its line end.
+    std::string account_fields_;
 };
 
 } // namespace waxwingvalve::tests
