--- a/tests/outside_bytes/outside_bytes_test.cpp
+++ b/tests/outside_bytes/outside_bytes_test.cpp
@@ -21,6 +21,7 @@
 #include "schema/fleet.hpp"
 #include "schema/front_settings.hpp"
 #include "schema/messages.hpp"
+#include "schema/quota.hpp"
 #include "schema/records.hpp"
 #include "schema/settings.hpp"
 
@@ -199,6 +200,8 @@
     R"("sticky":true,"home_regions":["addis"]}},{"entry_type":"services",)"
     R"("metadata":{"name":"old"},"spec":{"health_path":"/health",)"
     R"("max_connections":390,"cold_start":"3s","cold_per_s":7.2}},)"
+    R"({"entry_type":"tenants","metadata":{"name":"acme"},"spec":)"
+    R"({"api_keys":["k"],"priority":1,"rate_per_s":9,"burst":9}},)"
     R"({"entry_type":"limits","metadata":{},"spec":{"max_header_bytes":)"
     R"(16384,"max_body_bytes":100,"header_timeout":"3000ms",)"
     R"("idle_timeout":"15000ms"}}]})";
@@ -331,6 +334,17 @@
         [](const std::string& text)
         { return schema::parse_fleet_beat(bytes_of(text)).has_value(); });
 
+    schema::quota_message leases{.sender = 1, .incarnation = 2};
+    leases.requests.push_back({3, 4, 5, 6});
+    leases.grants.push_back({7, 8, 9, 10, schema::lease_status::not_owner});
+    check_parser(
+        text_of(schema::encode(leases)),
+        [](const std::string& text)
+        {
+            return schema::is_quota_message(bytes_of(text)) &&
+                   schema::parse_quota_message(bytes_of(text)).has_value();
+        });
+
     schema::peer_message message;
     message.sender = "a";
     message.target = "b";
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -71,6 +71,11 @@
     R"({"entry_type":"services","metadata":{"name":"old"},"spec":{)"
     R"("health_path":"/health","max_connections":390,"cold_start":"3s",)"
     R"("cold_per_s":7.2}},)"
+    R"({"entry_type":"tenants","metadata":{"name":"acme"},"spec":{)"
+    R"("api_keys":["key-1","key-2"],"priority":1,"rate_per_s":962.5,)"
+    R"("burst":96,"home_regions":["gondar"]}},)"
+    R"({"entry_type":"tenants","metadata":{"name":"other"},"spec":{)"
+    R"("api_keys":["key-3"]}},)"
     R"({"entry_type":"limits","metadata":{},"spec":{"max_header_bytes":)"
     R"(16384,"max_body_bytes":100,"header_timeout":"3000ms",)"
     R"("idle_timeout":"15000ms"}}]})";
@@ -121,8 +126,57 @@
     BOOST_TEST(configuration.limits.body_bytes == 100U);
 }
 
+BOOST_AUTO_TEST_CASE(all_account_fields_are_parsed)
+{
+    const auto parsed = platform::parse_configuration(valid_configuration);
+    BOOST_REQUIRE(parsed.has_value());
+    const auto& accounts = parsed.value().accounts;
+    BOOST_REQUIRE(accounts.size() == 2U);
+    BOOST_TEST(accounts[0].name == "acme");
+    BOOST_REQUIRE(accounts[0].keys.size() == 2U);
+    BOOST_TEST(accounts[0].keys[1] == "key-2");
+    BOOST_TEST(accounts[0].priority.value() == 1U);
+    BOOST_TEST(accounts[0].requests_per_s == 962.5);
+    BOOST_TEST(accounts[0].burst == 96.0);
+    BOOST_REQUIRE(accounts[0].home_regions.size() == 1U);
+    // Left out: the route's priority, no limit, every region.
+    BOOST_TEST(!accounts[1].priority.has_value());
+    BOOST_TEST(accounts[1].requests_per_s == 0.0);
+    BOOST_TEST(accounts[1].home_regions.empty());
+}
+
+// A list that was read in part would let keys through, or keep them out. The
+// reason is logged and must not hold a key.
+BOOST_AUTO_TEST_CASE(unreadable_accounts_are_rejected)
+{
+    for (const std::string_view bad :
+         {R"("api_keys":["key-1",7])",
+          R"("api_keys":"key-1")",
+          R"("api_keys":["key-1","key-1"])",
+          R"("api_keys":["key-1","key-3"])",
+          R"("api_keys":["key-1",""])"})
+    {
+        std::string text{valid_configuration};
+        const std::string_view good{R"("api_keys":["key-1","key-2"])"};
+        text.replace(text.find(good), good.size(), bad);
+        const auto parsed = platform::parse_configuration(text);
+        BOOST_TEST(!parsed.has_value(), bad);
+        BOOST_TEST(to_string(parsed.error()).find("key-") == std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(downloads_are_idempotent)
+{
+    std::string text{valid_configuration};
+    const std::string_view safe{R"("kind":"safe")"};
+    text.replace(text.find(safe), safe.size(), R"("kind":"download")");
+    const auto parsed = platform::parse_configuration(text);
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST(parsed.value().routes[0].idempotent);
+}
+
 // A later kind of route may not be repeatable.
-BOOST_AUTO_TEST_CASE(only_safe_routes_are_idempotent)
+BOOST_AUTO_TEST_CASE(other_kinds_of_routes_are_not_idempotent)
 {
     for (const auto* kind : {"unsafe", "upload", "stream", "Safe", ""})
     {
--- a/tests/schema/front_settings_test.cpp
+++ b/tests/schema/front_settings_test.cpp
@@ -40,7 +40,12 @@
   "max_answer_mb": 4,
   "worker_answers_mb": 5,
   "caller_mb": 6,
-  "max_connections": 70
+  "max_connections": 70,
+  "strict_revocation": true,
+  "revocation_time": "7s",
+  "quota_window": "4s",
+  "quota_overshoot": 0.2,
+  "quota_slack": 30
 })";
 
 struct bad_value
@@ -66,6 +71,11 @@
     {R"("retry_ratio": 0.2)", R"("retry_ratio": 1.2)"},
     {R"("retry_allowance": 430)", R"("retry_allowance": -1)"},
     {R"("region_step": 0.15)", R"("region_step": 0)"},
+    {R"("revocation_time": "7s")", R"("revocation_time": "soon")"},
+    {R"("quota_window": "4s")", R"("quota_window": "0s")"},
+    {R"("quota_overshoot": 0.2)", R"("quota_overshoot": -0.2)"},
+    {R"("quota_overshoot": 0.2)", R"("quota_overshoot": 1.2)"},
+    {R"("quota_slack": 30)", R"("quota_slack": -1)"},
     {R"("log_level": "error")", R"("log_level": "loud")"},
     {R"("body_memory_mb": 40)", R"("body_memory_mb": "much")"},
     {R"("body_memory_mb": 40)", R"("body_memory": 40)"},
@@ -101,6 +111,11 @@
     BOOST_TEST(settings.worker_answer_bytes == 5ULL * 1024 * 1024);
     BOOST_TEST(settings.caller_bytes == 6ULL * 1024 * 1024);
     BOOST_TEST(settings.max_connections == 70U);
+    BOOST_TEST(settings.strict_revocation);
+    BOOST_TEST((settings.revocation_time == 7s));
+    BOOST_TEST((settings.quota_window == 4s));
+    BOOST_TEST(settings.quota_overshoot == 0.2);
+    BOOST_TEST(settings.quota_slack == 30.0);
 }
 
 BOOST_DATA_TEST_CASE(bad_values_are_rejected, bad_values)
