Quotas: owners count what holders spend and hold, by the window

Change: an owner counts the tokens that holders report as spent in the last window, and those that they hold. So holders keep a token for the next request without cost for others, and all of the window's tokens can be used. A daemon owns accounts 2 s after its start. An owner that was not asked for a second begins anew.

--- a/packages/decision/quotas/quota_holder.cpp
+++ b/packages/decision/quotas/quota_holder.cpp
@@ -14,7 +14,7 @@
 
 // Time constant of the moving average of an account's requests.
 constexpr seconds rate_time_constant{1.0};
-// A lease is renewed when less than this part of what it is to hold is left.
+// Tokens are leased when less than this part of what is to be held is left.
 constexpr double renewal_part = 0.5;
 constexpr std::uint32_t max_tokens = std::numeric_limits<std::uint16_t>::max();
 
@@ -39,36 +39,27 @@
     return state.requests_per_s * std::exp(-(elapsed / rate_time_constant));
 }
 
-void quota_holder::end_leases(account_state& state, base::instant now)
+// The owner counts tokens of a lease that has ended as spent.
+void quota_holder::end_lease(account_state& state, base::instant now)
 {
-    while (!state.leases.empty() && state.leases.front().ends_at <= now)
+    if (now >= state.lease_ends_at)
     {
-        state.returned += state.leases.front().tokens;
-        state.leases.pop_front();
+        state.tokens = 0;
     }
 }
 
-std::uint32_t quota_holder::tokens_of(const account_state& state)
+bool quota_holder::take_token(account_state& state, base::instant now)
 {
-    std::uint32_t sum = 0;
-    for (const auto& one : state.leases)
+    end_lease(state, now);
+    if (state.tokens == 0)
     {
-        sum += one.tokens;
-    }
-    return sum;
-}
-
-bool quota_holder::take_token(account_state& state)
-{
-    for (auto& one : state.leases)
-    {
-        if (one.tokens > 0)
-        {
-            --one.tokens;
-            return true;
-        }
+        return false;
     }
-    return false;
+    --state.tokens;
+    state.report_due_at =
+        state.spent == 0 ? now + report_time : state.report_due_at;
+    ++state.spent;
+    return true;
 }
 
 spend_result quota_holder::spend_uncoordinated(
@@ -89,9 +80,8 @@
     auto& state = accounts_[account];
     state.limit = limit;
     count_request(state, now);
-    end_leases(state, now);
     // Those that wait come first.
-    if (state.waiting == 0 && take_token(state))
+    if (state.waiting == 0 && take_token(state, now))
     {
         return {spend_status::spent, {}};
     }
@@ -110,15 +100,11 @@
 bool quota_holder::spend_at_once(account_digest account, base::instant now)
 {
     const auto found = accounts_.find(account);
-    if (found == accounts_.end())
-    {
-        return false;
-    }
-    end_leases(found->second, now);
-    return found->second.waiting == 0 && take_token(found->second);
+    return found != accounts_.end() && found->second.waiting == 0 &&
+           take_token(found->second, now);
 }
 
-void quota_holder::give_back(account_digest account, base::instant now)
+void quota_holder::give_back(account_digest account)
 {
     const auto found = accounts_.find(account);
     if (found == accounts_.end())
@@ -126,13 +112,14 @@
         return;
     }
     auto& state = found->second;
-    end_leases(state, now);
-    if (state.leases.empty())
+    const auto on_its_way = state.asked ? state.asked->request.spent : 0U;
+    if (state.spent > on_its_way)
     {
-        ++state.returned;
+        --state.spent;
+        ++state.tokens;
         return;
     }
-    ++state.leases.front().tokens;
+    ++state.returned;
 }
 
 void quota_holder::withdraw(account_digest account)
@@ -144,22 +131,19 @@
     }
 }
 
-// Tokens beyond those that are here: for the waiting requests, and for those
-// that are likely to come until the next lease.
-std::uint32_t quota_holder::tokens_needed(
+std::uint32_t quota_holder::tokens_ahead(
     const account_state& state, base::instant now)
 {
     const double ahead = rate_of(state, now) * seconds{lease_ahead}.count();
-    const auto tokens = tokens_of(state);
-    // A few requests now and then are not worth a lease ahead.
-    const bool steady = ahead >= 1;
-    const bool low = tokens < renewal_part * ahead;
-    const auto wanted = static_cast<std::uint32_t>(steady ? ahead : 0);
-    if (state.waiting == 0)
-    {
-        return steady && low ? wanted - std::min(wanted, tokens) : 0;
-    }
-    return state.waiting + wanted;
+    return static_cast<std::uint32_t>(std::ceil(ahead));
+}
+
+bool quota_holder::due(const account_state& state, base::instant now)
+{
+    const bool report = state.spent > 0 && now >= state.report_due_at;
+    const bool low = state.spent > 0 &&
+                     state.tokens < renewal_part * tokens_ahead(state, now);
+    return now >= state.next_ask_at && (state.waiting > 0 || report || low);
 }
 
 std::optional<quota_holder::due_request> quota_holder::make_due(
@@ -175,17 +159,25 @@
         asked.resend_at = now + resend_time;
         return due_request{asked.request, asked.candidate};
     }
-    end_leases(state, now);
-    const auto needed = tokens_needed(state, now);
-    if (needed == 0 || now < state.next_ask_at)
+    end_lease(state, now);
+    if (!due(state, now))
     {
         return std::nullopt;
     }
+    const auto ahead = tokens_ahead(state, now);
+    // What comes until the next request is refused otherwise.
+    const auto next =
+        state.exhausted
+            ? static_cast<std::uint32_t>(
+                  rate_of(state, now) * seconds{ask_interval}.count())
+            : 0U;
     const schema::lease_request request{
         .account = account,
-        .sequence = ++state.sequence,
-        .wanted_tokens = bounded(needed),
-        .returned_tokens = bounded(std::exchange(state.returned, 0))};
+        .sequence = ++sequence_,
+        .needed = bounded(state.waiting + next),
+        .ahead = bounded(ahead - std::min(ahead, state.tokens)),
+        .spent = bounded(state.spent),
+        .returned = bounded(state.returned)};
     state.asked = pending_ask{
         .request = request,
         .first_sent_at = now,
@@ -254,7 +246,7 @@
 }
 
 std::optional<lease_decision> quota_holder::receive(
-    const schema::lease_grant& grant, base::instant now)
+    const schema::lease_grant& grant, std::uint64_t owner, base::instant now)
 {
     const auto found = accounts_.find(grant.account);
     const bool expected =
@@ -274,33 +266,32 @@
     const auto asked = *std::exchange(state.asked, std::nullopt);
     state.silent_until = {};
     uncoordinated_.remove(grant.account);
-    if (grant.tokens > 0)
-    {
-        state.leases.push_back(
-            {grant.tokens,
-             asked.first_sent_at + lease_time(state.limit, terms_)});
-        end_leases(state, now);
-    }
-    return divide_grant(grant, asked.request.wanted_tokens, state, now);
+    state.spent -= asked.request.spent;
+    state.returned -= asked.request.returned;
+    state.report_due_at = now + report_time;
+    // A new owner knows nothing of tokens that the one before has granted.
+    const bool same_owner = state.owner == owner;
+    end_lease(state, now);
+    state.tokens = (same_owner ? state.tokens : 0) + grant.tokens;
+    state.owner = owner;
+    state.lease_ends_at = asked.first_sent_at + lease_time - lease_margin;
+    return divide_grant(grant, state, now);
 }
 
 // Gives the tokens to the waiting requests, and refuses the others of them if
 // the owner has no more.
 lease_decision quota_holder::divide_grant(
-    const schema::lease_grant& grant,
-    std::uint16_t wanted,
-    account_state& state,
-    base::instant now)
+    const schema::lease_grant& grant, account_state& state, base::instant now)
 {
     lease_decision decision{.account = grant.account};
-    while (state.waiting > 0 && take_token(state))
+    while (state.waiting > 0 && take_token(state, now))
     {
         --state.waiting;
         ++decision.spent;
     }
-    const bool short_of_tokens = grant.tokens < wanted;
-    state.next_ask_at = short_of_tokens ? now + ask_interval : now;
-    if (state.waiting > 0 && short_of_tokens)
+    state.exhausted = grant.retry_after_ms > 0;
+    state.next_ask_at = state.exhausted ? now + ask_interval : now;
+    if (state.waiting > 0 && state.exhausted)
     {
         state.exceeded_until = state.next_ask_at;
         state.retry_after = std::chrono::milliseconds{grant.retry_after_ms};
--- a/packages/decision/quotas/quota_holder.hpp
+++ b/packages/decision/quotas/quota_holder.hpp
@@ -2,15 +2,15 @@
 // owners.
 //
 // A request that finds no token waits for a lease, one round trip to the owner.
-// A daemon with a steady rate of requests leases ahead. Only one request for a
-// lease of an account is on its way at a time.
+// So that few have to, a daemon to which requests of the account come leases
+// ahead. Only one request for a lease of an account is on its way at a time; it
+// reports what was spent as well.
 //
 // If the owner does not answer, requests are paced at this daemon's part of a
 // share of the rate until it does.
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -56,22 +56,21 @@
 {
 public:
     // Least time between two requests for leases of an account whose quota is
-    // nearly used, or that is asked for ahead of need.
+    // used.
     static constexpr base::duration ask_interval{
-        std::chrono::milliseconds{100}};
+        std::chrono::milliseconds{150}};
     // A request for a lease is sent again after this time without an answer.
     static constexpr base::duration resend_time{std::chrono::milliseconds{100}};
     // An owner that leaves a request unanswered for this long is silent.
-    static constexpr base::duration answer_time{std::chrono::milliseconds{250}};
+    static constexpr base::duration answer_time{std::chrono::milliseconds{350}};
     // A silent owner is asked again after this time.
     static constexpr base::duration silent_time{std::chrono::milliseconds{500}};
     // How far ahead of need tokens are leased.
     static constexpr base::duration lease_ahead{std::chrono::milliseconds{250}};
+    // What was spent is reported after this time at most.
+    static constexpr base::duration report_time{std::chrono::milliseconds{200}};
 
-    quota_holder(const quota_terms& terms, std::uint64_t seed)
-        : terms_{terms}, uncoordinated_{seed}
-    {
-    }
+    explicit quota_holder(std::uint64_t seed) : uncoordinated_{seed} {}
 
     // Takes a token for one request.
     spend_result spend(
@@ -80,7 +79,7 @@
     // here.
     bool spend_at_once(account_digest account, base::instant now);
     // A token that was spent was not needed.
-    void give_back(account_digest account, base::instant now);
+    void give_back(account_digest account);
     // A waiting request is no more.
     void withdraw(account_digest account);
 
@@ -100,22 +99,18 @@
     // Waiting requests that an owner has left unanswered for too long.
     std::vector<lease_decision> overdue(base::instant now);
 
-    // The request of this account was answered. Nothing if the answer is to an
-    // earlier one, or if the next candidate is to be asked.
+    // The request of this account was answered by `owner`. Nothing if the
+    // answer is to an earlier one, or if the next candidate is to be asked.
     std::optional<lease_decision> receive(
-        const schema::lease_grant& grant, base::instant now);
+        const schema::lease_grant& grant,
+        std::uint64_t owner,
+        base::instant now);
 
     // Forgets accounts without requests since `before`.
     void remove_idle(base::instant before);
     std::size_t size() const { return accounts_.size(); }
 
 private:
-    // Tokens of one lease.
-    struct lease
-    {
-        std::uint32_t tokens{};
-        base::instant ends_at{};
-    };
     struct pending_ask
     {
         schema::lease_request request{};
@@ -126,14 +121,21 @@
     struct account_state
     {
         quota_limit limit{};
-        // Ordered by their ends.
-        std::deque<lease> leases{};
+        // Leased, and to be spent until the end.
+        std::uint32_t tokens{};
+        base::instant lease_ends_at{};
+        // Who granted them.
+        std::uint64_t owner{};
         std::uint32_t waiting{};
-        // Tokens of leases that ended unused, to be returned.
+        // Not reported yet: spent tokens, and reported ones that were not
+        // needed.
+        std::uint32_t spent{};
         std::uint32_t returned{};
-        std::uint32_t sequence{};
+        // The owner had fewer tokens than were needed.
+        bool exhausted{false};
         std::optional<pending_ask> asked{};
         base::instant next_ask_at{};
+        base::instant report_due_at{};
         // Requests are refused until the owner can be asked again.
         base::instant exceeded_until{};
         // What the owner said last of the next tokens.
@@ -147,24 +149,26 @@
 
     static void count_request(account_state& state, base::instant now);
     static double rate_of(const account_state& state, base::instant now);
-    static void end_leases(account_state& state, base::instant now);
-    static std::uint32_t tokens_of(const account_state& state);
-    static bool take_token(account_state& state);
-    static std::uint32_t tokens_needed(
+    static void end_lease(account_state& state, base::instant now);
+    static bool take_token(account_state& state, base::instant now);
+    // Tokens to hold for requests to come.
+    static std::uint32_t tokens_ahead(
         const account_state& state, base::instant now);
+    static bool due(const account_state& state, base::instant now);
     spend_result spend_uncoordinated(
         account_digest account, account_state& state, base::instant now);
     static lease_decision divide_grant(
         const schema::lease_grant& grant,
-        std::uint16_t wanted,
         account_state& state,
         base::instant now);
-    static std::optional<due_request> make_due(
+    std::optional<due_request> make_due(
         account_digest account, account_state& state, base::instant now);
     lease_decision end_wait(
         account_digest account, account_state& state, base::instant now);
 
-    quota_terms terms_;
+    // Of the latest request, over all accounts: one that is forgotten and comes
+    // back goes on with it.
+    std::uint32_t sequence_{0};
     // Invariant: holds an account as long as requests wait for it.
     std::unordered_map<account_digest, account_state> accounts_;
     double uncoordinated_share_{0};
--- a/packages/decision/quotas/quota_limit.cpp
+++ b/packages/decision/quotas/quota_limit.cpp
@@ -1,7 +1,5 @@
 #include "decision/quotas/quota_limit.hpp"
 
-#include <algorithm>
-
 #include <xxhash.h>
 
 namespace waxwingvalve::decision::quotas
@@ -11,42 +9,30 @@
 
 using seconds = std::chrono::duration<double>;
 
-// Shorter leases would end before they arrive in another region.
-constexpr seconds min_lease_time{0.3};
-constexpr seconds max_lease_time{5.0};
-
-constexpr double lease_part = 0.5;
-constexpr double capacity_part = 0.25;
-constexpr double initial_part = 0.25;
+constexpr double overshoot_part = 0.3;
+constexpr double slack_part = 0.6;
+constexpr double initial_overshoot_part = 0.1;
+constexpr double initial_slack_part = 0.25;
 
-// What the terms allow in a window beyond the quota, in tokens.
-double spare_tokens(const quota_limit& limit, const quota_terms& terms)
+double quota_of_window(const quota_limit& limit, const quota_terms& terms)
 {
-    const seconds window{terms.window};
-    const double quota = limit.requests_per_s * window.count() + limit.burst;
-    return terms.overshoot * quota + terms.slack;
+    return limit.requests_per_s * seconds{terms.window}.count() + limit.burst;
 }
 
 } // namespace
 
-base::duration lease_time(const quota_limit& limit, const quota_terms& terms)
-{
-    const seconds earned{
-        lease_part * spare_tokens(limit, terms) / limit.requests_per_s};
-    return std::chrono::duration_cast<base::duration>(
-        std::clamp(earned, min_lease_time, max_lease_time));
-}
-
-double bucket_capacity(const quota_limit& limit, const quota_terms& terms)
+double tokens_of_window(const quota_limit& limit, const quota_terms& terms)
 {
-    // A quota below one request a second has to reach a whole token, too.
-    return std::max(
-        limit.burst + capacity_part * spare_tokens(limit, terms), 1.0);
+    return quota_of_window(limit, terms) *
+               (1 + overshoot_part * terms.overshoot) +
+           slack_part * terms.slack;
 }
 
 double initial_tokens(const quota_limit& limit, const quota_terms& terms)
 {
-    return initial_part * spare_tokens(limit, terms);
+    return initial_overshoot_part * terms.overshoot *
+               quota_of_window(limit, terms) +
+           initial_slack_part * terms.slack;
 }
 
 account_digest digest_of_account(std::string_view name)
--- a/packages/decision/quotas/quota_limit.hpp
+++ b/packages/decision/quotas/quota_limit.hpp
@@ -32,16 +32,17 @@
     double slack{20};
 };
 
-// How much of what the terms allow beyond the quota goes where.
-
-// How long leased tokens may be spent: half of it, since what is leased before
-// a window may be spent in it.
-base::duration lease_time(const quota_limit& limit, const quota_terms& terms);
-// Tokens of a full bucket: the burst and a quarter of it. Quotas of a few
-// requests a second would otherwise refuse callers that come at random.
-double bucket_capacity(const quota_limit& limit, const quota_terms& terms);
-// Tokens that a new owner begins with: a quarter of it. The owner before may
-// have granted the whole burst just now.
+// How long leased tokens may be spent. Owners count them until then, and
+// holders drop them a little earlier.
+inline constexpr base::duration lease_time{std::chrono::seconds{5}};
+inline constexpr base::duration lease_margin{std::chrono::milliseconds{500}};
+
+// Tokens that an owner lets out of its hands in a window. The rest of what the
+// terms allow is for the time that requests and reports of them are on their
+// way, and for changes of the owner.
+double tokens_of_window(const quota_limit& limit, const quota_terms& terms);
+// Of these, what a new owner begins with: the one before it may have granted
+// the others.
 double initial_tokens(const quota_limit& limit, const quota_terms& terms);
 
 using account_digest = std::uint64_t;
--- a/packages/decision/quotas/quota_owner.cpp
+++ b/packages/decision/quotas/quota_owner.cpp
@@ -1,6 +1,7 @@
 #include "decision/quotas/quota_owner.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace waxwingvalve::decision::quotas
 {
@@ -9,58 +10,155 @@
 
 using seconds = std::chrono::duration<double>;
 
-// So many tokens may go to one holder.
+// Another daemon may have owned an account that nobody asked for in this time.
+constexpr base::duration unasked_time{std::chrono::seconds{1}};
+// So many tokens may go to one holder, also if others ask, too.
 constexpr double undivided_tokens = 4;
+// Tokens for requests to come are granted only out of what exceeds this part of
+// a window's.
+constexpr double reserved_part = 0.5;
+
+std::uint16_t whole_tokens(double tokens)
+{
+    constexpr double most = std::numeric_limits<std::uint16_t>::max();
+    // Sums of slices are a little off.
+    constexpr double rounding = 1e-6;
+    return static_cast<std::uint16_t>(std::clamp(tokens + rounding, 0.0, most));
+}
+
+// Of the available tokens, what one holder gets for requests that wait.
+std::uint16_t divide(double available, std::uint16_t needed)
+{
+    const double most =
+        std::min(available, std::max(undivided_tokens, available / 2));
+    return std::min(needed, whole_tokens(most));
+}
 
 } // namespace
 
-quota_owner::bucket& quota_owner::fill(
-    account_digest account,
-    const quota_limit& limit,
-    double share,
-    base::instant now)
+spent_window::spent_window(base::duration window)
+    : slices_(static_cast<std::size_t>(window / slice) + 1)
 {
-    const auto [found, added] = buckets_.try_emplace(account);
-    auto& filled = found->second;
-    if (added)
+}
+
+void spent_window::advance(base::instant now)
+{
+    const std::int64_t number = now.time_since_epoch() / slice;
+    const auto size = static_cast<std::int64_t>(slices_.size());
+    const auto passed = std::min(number - newest_, size);
+    for (std::int64_t i = 0; i < passed; ++i)
     {
-        filled.tokens = initial_tokens(limit, terms_);
-        filled.filled_at = now;
+        auto& oldest = slices_[static_cast<std::size_t>((number - i) % size)];
+        sum_ -= oldest;
+        oldest = 0;
     }
-    const seconds elapsed{now - filled.filled_at};
-    filled.tokens = std::min(
-        filled.tokens + share * limit.requests_per_s * elapsed.count(),
-        bucket_capacity(limit, terms_));
-    filled.filled_at = now;
-    filled.asked_at = now;
-    return filled;
+    newest_ = std::max(newest_, number);
 }
 
-// One holder takes no more than half of many tokens at once: others ask, too.
-std::uint16_t quota_owner::take(bucket& from, std::uint16_t wanted)
+void spent_window::add(double tokens, base::instant now)
 {
-    const double most =
-        std::min(from.tokens, std::max(undivided_tokens, from.tokens / 2));
-    const auto granted =
-        static_cast<std::uint16_t>(std::min(static_cast<double>(wanted), most));
-    from.tokens -= granted;
-    return granted;
+    advance(now);
+    slices_[static_cast<std::size_t>(newest_) % slices_.size()] += tokens;
+    sum_ += tokens;
+}
+
+void spent_window::remove(double tokens, base::instant now)
+{
+    advance(now);
+    for (std::size_t i = 1; i <= slices_.size() && tokens > 0; ++i)
+    {
+        auto& one =
+            slices_[(static_cast<std::size_t>(newest_) + i) % slices_.size()];
+        const double taken = std::min(one, tokens);
+        one -= taken;
+        sum_ -= taken;
+        tokens -= taken;
+    }
+}
+
+void spent_window::spread(double tokens, base::instant now)
+{
+    advance(now);
+    const double each = tokens / static_cast<double>(slices_.size());
+    for (auto& one : slices_)
+    {
+        one += each;
+    }
+    sum_ += tokens;
+}
+
+double spent_window::count(base::instant now)
+{
+    advance(now);
+    return sum_;
+}
+
+quota_owner::account_state& quota_owner::state_of(
+    account_digest account, const quota_limit& limit, base::instant now)
+{
+    const auto [found, added] =
+        accounts_.try_emplace(account, spent_window{terms_.window});
+    auto& state = found->second;
+    if (added || now - state.asked_at > unasked_time)
+    {
+        const double unknown = tokens_of_window(limit, terms_) -
+                               initial_tokens(limit, terms_) -
+                               state.spent.count(now) - state.held;
+        state.spent.spread(std::max(unknown, 0.0), now);
+    }
+    state.asked_at = now;
+    return state;
+}
+
+// What a holder has not reported by then counts as spent.
+void quota_owner::end_leases(account_state& state, base::instant now)
+{
+    if (now < state.next_end)
+    {
+        return;
+    }
+    state.next_end = base::instant::max();
+    for (auto& [key, one] : state.leases)
+    {
+        if (one.held > 0 && one.ends_at <= now)
+        {
+            state.spent.add(one.held, now);
+            state.held -= one.held;
+            one.held = 0;
+        }
+        if (one.held > 0)
+        {
+            state.next_end = std::min(state.next_end, one.ends_at);
+        }
+    }
+}
+
+void quota_owner::record_report(
+    account_state& state,
+    lease& of,
+    const schema::lease_request& request,
+    base::instant now)
+{
+    const auto reported = std::min<std::uint32_t>(request.spent, of.held);
+    of.held -= reported;
+    state.held -= reported;
+    // Those that an owner before had granted count, too.
+    state.spent.add(request.spent, now);
+    state.spent.remove(request.returned, now);
 }
 
 base::duration quota_owner::foresee(
-    bucket& from,
-    std::uint32_t missing_tokens,
-    double requests_per_s,
+    account_state& state,
+    double missing_tokens,
+    double tokens_per_s,
     base::instant now)
 {
-    const double first = std::max(0.0, 1.0 - from.tokens);
-    const seconds earned{
-        std::max(static_cast<double>(missing_tokens), first) / requests_per_s};
+    const seconds earned{missing_tokens / tokens_per_s};
     const seconds bounded = std::min(earned, seconds{max_retry_after});
-    const auto until = std::max(from.foreseen_until, now) +
+    const auto until = std::max(state.foreseen_until, now) +
                        std::chrono::duration_cast<base::duration>(bounded);
-    from.foreseen_until = std::min(until, now + max_retry_after);
-    return from.foreseen_until - now;
+    state.foreseen_until = std::min(until, now + max_retry_after);
+    return state.foreseen_until - now;
 }
 
 schema::lease_grant quota_owner::grant(
@@ -70,40 +168,56 @@
     double share,
     base::instant now)
 {
-    auto& from = fill(request.account, limit, share, now);
-    auto& latest = from.holders[holder.key];
-    const bool same_start = latest.incarnation == holder.incarnation;
-    // It comes again, or late.
-    if (same_start && request.sequence <= latest.grant.sequence)
+    auto& state = state_of(request.account, limit, now);
+    end_leases(state, now);
+    auto& one = state.leases[holder.key];
+    if (one.incarnation != holder.incarnation)
     {
-        return latest.grant;
+        // Its former start may have spent all that it held.
+        state.spent.add(one.held, now);
+        state.held -= one.held;
+        one = {.incarnation = holder.incarnation};
     }
-    if (same_start)
+    else if (request.sequence <= one.latest.sequence)
     {
-        // No more than what it got comes back.
-        const auto returned =
-            std::min(request.returned_tokens, latest.grant.tokens);
-        from.tokens =
-            std::min(from.tokens + returned, bucket_capacity(limit, terms_));
+        // It comes again, or late.
+        return one.latest;
     }
-    schema::lease_grant granted{
-        .account = request.account, .sequence = request.sequence};
-    granted.tokens = take(from, request.wanted_tokens);
-    const std::uint32_t missing = request.wanted_tokens - granted.tokens;
-    if (missing > 0)
+    record_report(state, one, request, now);
+
+    const double window_tokens = share * tokens_of_window(limit, terms_);
+    const double available =
+        window_tokens - state.spent.count(now) - state.held;
+    const auto needed = divide(available, request.needed);
+    const auto ahead = std::min(
+        request.ahead,
+        whole_tokens(available - needed - reserved_part * window_tokens));
+    const auto granted = static_cast<std::uint32_t>(needed) + ahead;
+    one.held += granted;
+    state.held += granted;
+    one.ends_at = now + lease_time;
+    state.next_end = std::min(state.next_end, one.ends_at);
+    one.latest = {
+        .account = request.account,
+        .sequence = request.sequence,
+        .tokens = whole_tokens(granted)};
+    if (needed < request.needed)
     {
-        const auto wait = foresee(from, missing, limit.requests_per_s, now);
-        granted.retry_after_ms =
+        const auto wait = foresee(
+            state,
+            request.needed - needed,
+            tokens_of_window(limit, terms_) / seconds{terms_.window}.count(),
+            now);
+        one.latest.retry_after_ms =
             static_cast<std::uint32_t>(base::to_milliseconds(wait));
     }
-    latest = {holder.incarnation, granted};
-    return granted;
+    return one.latest;
 }
 
 void quota_owner::remove_idle(base::instant before)
 {
     std::erase_if(
-        buckets_,
+        accounts_,
         [&](const auto& item) { return item.second.asked_at < before; });
 }
 
--- a/packages/decision/quotas/quota_owner.hpp
+++ b/packages/decision/quotas/quota_owner.hpp
@@ -1,13 +1,16 @@
 // Grants leases of the tokens of the accounts that this daemon owns.
 //
-// Each account has a token bucket. Its tokens are debited when they are
-// granted, so that what all holders spend in a window is at most what the
-// bucket earns in it, its burst, and the leases that are out at its start.
+// An account may use so many tokens in any window. Counted are those that
+// holders report as spent, at the time of the report, and those that they still
+// hold. So tokens that are held where no request comes cost nothing for good,
+// and what all holders spend in a window is at most its tokens and what was
+// reported late.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 #include "base/time.hpp"
 #include "decision/quotas/quota_limit.hpp"
@@ -24,6 +27,30 @@
     std::uint64_t incarnation{};
 };
 
+// Tokens that were spent in the last window, in slices of time.
+class spent_window
+{
+public:
+    static constexpr base::duration slice{std::chrono::milliseconds{100}};
+
+    explicit spent_window(base::duration window);
+
+    void add(double tokens, base::instant now);
+    // Takes tokens back, from the oldest slices on.
+    void remove(double tokens, base::instant now);
+    // As if so many tokens had been spent evenly over the last window.
+    void spread(double tokens, base::instant now);
+    double count(base::instant now);
+
+private:
+    void advance(base::instant now);
+
+    // One more than the window has, since the oldest is only partly in it.
+    std::vector<double> slices_;
+    std::int64_t newest_{0};
+    double sum_{0};
+};
+
 class quota_owner
 {
 public:
@@ -32,8 +59,8 @@
 
     explicit quota_owner(const quota_terms& terms) : terms_{terms} {}
 
-    // `share`: the part of the rate at which the bucket fills now. A request
-    // that comes again gets the same grant again.
+    // `share`: the part of the account's tokens that this daemon may grant now.
+    // A request that comes again gets the same grant again.
     schema::lease_grant grant(
         const schema::lease_request& request,
         const lease_holder& holder,
@@ -41,41 +68,49 @@
         double share,
         base::instant now);
 
-    // Forgets accounts that nobody has asked for since `before`.
+    // Forgets accounts that nobody has asked for since `before`, which is
+    // longer ago than a window and a lease.
     void remove_idle(base::instant before);
-    std::size_t size() const { return buckets_.size(); }
+    std::size_t size() const { return accounts_.size(); }
 
 private:
-    struct latest_grant
+    struct lease
     {
         std::uint64_t incarnation{};
-        schema::lease_grant grant{};
+        // Tokens that the holder has and has not reported as spent.
+        std::uint32_t held{};
+        base::instant ends_at{};
+        schema::lease_grant latest{};
     };
-    struct bucket
+    struct account_state
     {
-        double tokens{};
-        base::instant filled_at{};
+        spent_window spent;
+        // Sum of what all holders hold.
+        std::uint32_t held{};
+        base::instant next_end{base::instant::max()};
         base::instant asked_at{};
         // Until then the tokens to come are foreseen for those who were told to
         // return.
         base::instant foreseen_until{};
-        std::unordered_map<std::uint64_t, latest_grant> holders{};
+        std::unordered_map<std::uint64_t, lease> leases{};
     };
 
-    bucket& fill(
-        account_digest account,
-        const quota_limit& limit,
-        double share,
+    account_state& state_of(
+        account_digest account, const quota_limit& limit, base::instant now);
+    static void end_leases(account_state& state, base::instant now);
+    static void record_report(
+        account_state& state,
+        lease& of,
+        const schema::lease_request& request,
         base::instant now);
-    static std::uint16_t take(bucket& from, std::uint16_t wanted);
     static base::duration foresee(
-        bucket& from,
-        std::uint32_t missing_tokens,
-        double requests_per_s,
+        account_state& state,
+        double missing_tokens,
+        double tokens_per_s,
         base::instant now);
 
     quota_terms terms_;
-    std::map<account_digest, bucket> buckets_;
+    std::map<account_digest, account_state> accounts_;
 };
 
 } // namespace waxwingvalve::decision::quotas
--- a/packages/decision/quotas/quota_ranking.cpp
+++ b/packages/decision/quotas/quota_ranking.cpp
@@ -12,8 +12,8 @@
 
 // Of the rate, for all daemons that no owner answers.
 constexpr double uncoordinated_part = 0.25;
-// Fleet size that a daemon assumes which knows fewer.
-constexpr double min_daemons = 16;
+// Fleet size that a daemon assumes which knows fewer, as after a start.
+constexpr double assumed_daemons = 64;
 
 bool heard(const quota_member& one)
 {
@@ -82,7 +82,7 @@
 double uncoordinated_share(const quota_fleet& fleet)
 {
     const auto known = static_cast<double>(fleet.members.size());
-    return uncoordinated_part / std::max(known, min_daemons);
+    return uncoordinated_part / std::max(known, assumed_daemons);
 }
 
 } // namespace waxwingvalve::decision::quotas
--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -34,10 +34,13 @@
     std::uint64_t self{};
     // All known daemons, including this one; none that leaves.
     std::span<const quota_member> members{};
-    // False until the list has had time to fill, and once this daemon leaves.
+    // False for quota_settle_time after the start, and once this daemon leaves.
     bool settled{};
 };
 
+// A daemon that has just started owns nothing for so long: it does not know all
+// others yet.
+inline constexpr base::duration quota_settle_time{std::chrono::seconds{2}};
 // A daemon that is silent for longer is not asked.
 inline constexpr base::duration quota_silence{std::chrono::seconds{4}};
 // An owner takes over from the next one in the ranking when it has been known
--- a/packages/decision/steering/fleet_members.hpp
+++ b/packages/decision/steering/fleet_members.hpp
@@ -116,8 +116,13 @@
     // Returns true once the member list has had time to fill.
     bool settled(base::instant now) const
     {
-        return started_at_ != base::instant{} &&
-               now - started_at_ >= settle_time;
+        return started_for(now) >= settle_time;
+    }
+    // Time since the first round; 0 before it.
+    base::duration started_for(base::instant now) const
+    {
+        return started_at_ == base::instant{} ? base::duration{}
+                                              : now - started_at_;
     }
     // Returns the largest number of daemons seen live at the same time.
     std::size_t peak_live_count() const { return peak_live_count_; }
--- a/packages/front/quota_exchange.cpp
+++ b/packages/front/quota_exchange.cpp
@@ -27,8 +27,7 @@
 
 quota_exchange::quota_exchange(
     boost::asio::io_context& loop, fleet_view& view, request_metrics& counts)
-    : view_{view}, counts_{counts},
-      holder_{view.quota_terms(), view.members.self().incarnation},
+    : view_{view}, counts_{counts}, holder_{view.members.self().incarnation},
       owner_{view.quota_terms()}, timer_{loop}
 {
 }
@@ -51,7 +50,8 @@
     // Alone among daemons that should be there, it knows nothing of the others.
     const bool alone = members_.size() == 1 && members.others_expected();
     const bool settled =
-        members.settled(now) && !members.self().leaving && !alone;
+        members.started_for(now) >= quotas::quota_settle_time &&
+        !members.self().leaving && !alone;
     return {self, members_, settled};
 }
 
@@ -74,8 +74,8 @@
     {
         ++counts_.quota_waits;
         waits_[digest].push_back(wait);
-        ask_for(digest, now);
     }
+    ask_for(digest, now);
     schedule_check();
     return result;
 }
@@ -88,8 +88,7 @@
 
 void quota_exchange::give_back(const client_account& account)
 {
-    holder_.give_back(
-        quotas::digest_of_account(account.name), base::monotonic_clock::now());
+    holder_.give_back(quotas::digest_of_account(account.name));
 }
 
 void quota_exchange::withdraw(const client_account& account)
@@ -147,7 +146,7 @@
     }
     for (const auto& grant : own_grants)
     {
-        receive(grant, now);
+        receive(grant, known.self, now);
     }
 }
 
@@ -195,14 +194,14 @@
     }
     for (const auto& grant : message.grants)
     {
-        receive(grant, now);
+        receive(grant, message.sender, now);
     }
 }
 
 void quota_exchange::receive(
-    const schema::lease_grant& grant, base::instant now)
+    const schema::lease_grant& grant, std::uint64_t owner, base::instant now)
 {
-    if (const auto decision = holder_.receive(grant, now))
+    if (const auto decision = holder_.receive(grant, owner, now))
     {
         apply(*decision);
     }
@@ -245,7 +244,7 @@
     }
     send_due(holder_.due_requests(now), now);
     holder_.remove_idle(now - idle_time);
-    owner_.remove_idle(now - idle_time);
+    owner_.remove_idle(now - owner_idle_time);
 }
 
 void quota_exchange::schedule_check()
--- a/packages/front/quota_exchange.hpp
+++ b/packages/front/quota_exchange.hpp
@@ -45,6 +45,7 @@
     static constexpr std::chrono::milliseconds check_interval{25};
     // Accounts without requests for this long are forgotten.
     static constexpr std::chrono::seconds idle_time{10};
+    static constexpr std::chrono::seconds owner_idle_time{60};
 
     quota_exchange(
         boost::asio::io_context& loop,
@@ -83,7 +84,10 @@
         std::span<const decision::quotas::quota_holder::due_request> due,
         base::instant now);
     void send(const base::endpoint& to, const schema::quota_message& message);
-    void receive(const schema::lease_grant& grant, base::instant now);
+    void receive(
+        const schema::lease_grant& grant,
+        std::uint64_t owner,
+        base::instant now);
     void ask_for(account_digest account, base::instant now);
     void apply(const decision::quotas::lease_decision& decision);
     void check();
--- a/packages/schema/quota.cpp
+++ b/packages/schema/quota.cpp
@@ -26,7 +26,12 @@
     for (const auto& one : message.requests)
     {
         out.requests.emplace_back(
-            one.account, one.sequence, one.wanted_tokens, one.returned_tokens);
+            one.account,
+            one.sequence,
+            one.needed,
+            one.ahead,
+            one.spent,
+            one.returned);
     }
     for (const auto& one : message.grants)
     {
@@ -68,7 +73,9 @@
             out.requests.push_back(
                 {one->account(),
                  one->sequence(),
-                 one->wanted(),
+                 one->needed(),
+                 one->ahead(),
+                 one->spent(),
                  one->returned()});
         }
     }
--- a/packages/schema/quota.hpp
+++ b/packages/schema/quota.hpp
@@ -25,9 +25,13 @@
     // Counts the holder's requests for this account; one that is sent again has
     // the same.
     std::uint32_t sequence{};
-    std::uint16_t wanted_tokens{};
-    // Tokens of earlier leases that ended unused.
-    std::uint16_t returned_tokens{};
+    // Tokens for requests that wait, and for those to come.
+    std::uint16_t needed{};
+    std::uint16_t ahead{};
+    // Tokens that were spent since the last request that was answered.
+    std::uint16_t spent{};
+    // Tokens told as spent whose requests have not run.
+    std::uint16_t returned{};
 };
 
 enum class lease_status : std::uint8_t
@@ -43,7 +47,7 @@
     // Of the request.
     std::uint32_t sequence{};
     std::uint16_t tokens{};
-    // If there are fewer than wanted: when further ones are likely.
+    // If there are fewer than needed: when further ones are likely.
     std::uint32_t retry_after_ms{};
     lease_status status{lease_status::granted};
 };
