Quotas: a lower limit leaves its part, and few requests wait; the soak has accounts

Change: with a lower limit what was spent counts in proportion, and what is held not at all, for it binds after a window. Tokens ahead are granted while a quarter of the window's are left, and each daemon keeps one more.

--- a/packages/decision/quotas/quota_holder.cpp
+++ b/packages/decision/quotas/quota_holder.cpp
@@ -135,7 +135,8 @@
     const account_state& state, base::instant now)
 {
     const double ahead = rate_of(state, now) * seconds{lease_ahead}.count();
-    return static_cast<std::uint32_t>(std::ceil(ahead));
+    // One more, since requests come at random.
+    return static_cast<std::uint32_t>(std::ceil(ahead)) + 1;
 }
 
 bool quota_holder::due(const account_state& state, base::instant now)
--- a/packages/decision/quotas/quota_owner.cpp
+++ b/packages/decision/quotas/quota_owner.cpp
@@ -16,7 +16,7 @@
 constexpr double undivided_tokens = 4;
 // Tokens for requests to come are granted only out of what exceeds this part of
 // a window's.
-constexpr double reserved_part = 0.5;
+constexpr double reserved_part = 0.25;
 
 std::uint16_t whole_tokens(double tokens)
 {
@@ -87,6 +87,15 @@
     sum_ += tokens;
 }
 
+void spent_window::scale(double part)
+{
+    for (auto& one : slices_)
+    {
+        one *= part;
+    }
+    sum_ *= part;
+}
+
 double spent_window::count(base::instant now)
 {
     advance(now);
@@ -97,8 +106,12 @@
     account_digest account, const quota_limit& limit, base::instant now)
 {
     const auto [found, added] =
-        accounts_.try_emplace(account, spent_window{terms_.window});
+        accounts_.try_emplace(account, limit, spent_window{terms_.window});
     auto& state = found->second;
+    if (state.limit != limit)
+    {
+        change_limit(state, limit);
+    }
     if (added || now - state.asked_at > unasked_time)
     {
         const double unknown = tokens_of_window(limit, terms_) -
@@ -110,6 +123,26 @@
     return state;
 }
 
+// A lower limit binds after a window. What was spent and is held under the one
+// before would leave nothing of it until then.
+void quota_owner::change_limit(
+    account_state& state, const quota_limit& limit) const
+{
+    const double part =
+        tokens_of_window(limit, terms_) / tokens_of_window(state.limit, terms_);
+    state.limit = limit;
+    if (part >= 1)
+    {
+        return;
+    }
+    state.spent.scale(part);
+    state.held = 0;
+    for (auto& [key, one] : state.leases)
+    {
+        one.held = 0;
+    }
+}
+
 // What a holder has not reported by then counts as spent.
 void quota_owner::end_leases(account_state& state, base::instant now)
 {
--- a/packages/decision/quotas/quota_owner.hpp
+++ b/packages/decision/quotas/quota_owner.hpp
@@ -40,6 +40,8 @@
     void remove(double tokens, base::instant now);
     // As if so many tokens had been spent evenly over the last window.
     void spread(double tokens, base::instant now);
+    // As if this part of the tokens had been spent.
+    void scale(double part);
     double count(base::instant now);
 
 private:
@@ -84,6 +86,7 @@
     };
     struct account_state
     {
+        quota_limit limit{};
         spent_window spent;
         // Sum of what all holders hold.
         std::uint32_t held{};
@@ -97,6 +100,7 @@
 
     account_state& state_of(
         account_digest account, const quota_limit& limit, base::instant now);
+    void change_limit(account_state& state, const quota_limit& limit) const;
     static void end_leases(account_state& state, base::instant now);
     static void record_report(
         account_state& state,
--- a/tests/decision/quotas/quota_bound_test.cpp
+++ b/tests/decision/quotas/quota_bound_test.cpp
@@ -212,4 +212,17 @@
     BOOST_TEST(fleet.most_in_window(11s) <= quota_fleet::bound(lower));
 }
 
+// Callers within the lower limit were refused for a window after the change.
+BOOST_DATA_TEST_CASE(a_lower_limit_refuses_nobody_below_it, data::make(cases))
+{
+    auto scene = scene_of(sample, usual / 2);
+    const quotas::quota_limit lower{
+        sample.requests_per_s / 2, sample.requests_per_s / 2};
+    scene.limit_at = [lower, before = scene.limit](base::duration at)
+    { return at < 6s ? before : lower; };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.refused_share() <= max_refused);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/soak_client.hpp
+++ b/tests/soak/soak_client.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "soak/soak_accounts.hpp"
 #include "soak/soak_daemon.hpp"
 
 namespace waxwingvalve::soak
@@ -80,6 +81,7 @@
     const std::vector<std::unique_ptr<soak_daemon>>& daemons_;
     ledger& seen_;
     std::mt19937_64 random_;
+    const soak_account& account_;
     bool keeps_connection_;
     client_connection connection_;
     // The daemon that the connection leads to.
--- a/tests/soak/soak_ledger.hpp
+++ b/tests/soak/soak_ledger.hpp
@@ -74,6 +74,8 @@
     unsigned status{0};
     // The number of the daemon that was asked.
     int daemon{};
+    // Account of the caller; empty if it is not checked.
+    std::string account{};
     base::instant sent_at{};
     base::instant ended_at{};
 };
@@ -84,6 +86,8 @@
     std::vector<std::string> broken{};
     // Time of the last request that each worker began to run.
     std::map<std::string, base::instant> last_run{};
+    // When requests of each account began to run.
+    std::map<std::string, std::vector<base::instant>> runs_of_account{};
 };
 
 } // namespace waxwingvalve::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_run.hpp"
 
+#include "soak/soak_accounts.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -125,6 +127,7 @@
     run_for(3'500ms);
     check_refusals();
     check_answers();
+    check_quotas(seen_);
     fmt::print(
         "{} daemons of up to {} MB, {} attempts, {} restores, {} judged on "
         "configurations, ",
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -14,6 +14,7 @@
 #include <fmt/format.h>
 
 #include "harness/loopback.hpp"
+#include "soak/soak_accounts.hpp"
 
 namespace waxwingvalve::soak
 {
@@ -192,6 +193,7 @@
     {
         auto& record = seen_.attempts[id];
         ++record.runs;
+        check_account(seen_, id, head);
         seen_.last_run[id_] = base::monotonic_clock::now();
         if (!record.idempotent && record.runs > 1)
         {
