Tests: linter clean

clang-tidy found a vector without reserved room, an unused declaration and a string literal that looks like a missing comma. No check changed.

--- a/tests/decision/accounts/account_table_test.cpp
+++ b/tests/decision/accounts/account_table_test.cpp
@@ -90,6 +90,7 @@
 BOOST_AUTO_TEST_CASE(ten_thousand_accounts_are_held)
 {
     std::vector<client_account> accounts;
+    accounts.reserve(10'000);
     for (int i = 0; i < 10'000; ++i)
     {
         accounts.push_back(make_account(
--- a/tests/decision/quotas/quota_holder_test.cpp
+++ b/tests/decision/quotas/quota_holder_test.cpp
@@ -6,7 +6,6 @@
 using namespace waxwingvalve::decision::quotas;
 using namespace std::chrono_literals;
 using waxwingvalve::base::instant;
-using waxwingvalve::schema::lease_grant;
 using waxwingvalve::schema::lease_status;
 
 namespace
--- a/tests/front/client_accounts_test.cpp
+++ b/tests/front/client_accounts_test.cpp
@@ -91,15 +91,16 @@
 
 BOOST_AUTO_TEST_CASE(a_request_without_a_key_in_force_is_refused)
 {
-    for (const auto* fields :
-         {"",
-          "Authorization: Bearer unknown\r\n",
-          "Authorization: Bearer\r\n",
-          "Authorization: Bearer secret-a x\r\n",
-          "Authorization: Basic secret-a\r\n",
-          "Authorization: Bearer secret-a\r\nAuthorization: Bearer "
-          "secret-b\r\n",
-          "Account: a\r\n"})
+    const std::string key{key_of_a};
+    const std::string two_keys = key + "Authorization: Bearer secret-b\r\n";
+    for (const std::string& fields :
+         {std::string{},
+          std::string{"Authorization: Bearer unknown\r\n"},
+          std::string{"Authorization: Bearer\r\n"},
+          std::string{"Authorization: Bearer secret-a x\r\n"},
+          std::string{"Authorization: Basic secret-a\r\n"},
+          two_keys,
+          std::string{"Account: a\r\n"}})
     {
         const auto response = exchange(fields);
         BOOST_TEST(response.starts_with("HTTP/1.1 401"), fields);
