--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -2,9 +2,9 @@
 // ranking of the live daemons.
 //
 // Daemons learn of one another at different times. So that two of them do not
-// fill two buckets of one account at the full rate, a daemon owns what it ranks
-// first for only once it has run for long enough to be known, and the one
-// before it goes on until then.
+// grant the tokens of one account for long, a daemon that has just started owns
+// nothing, and its successor in the ranking goes on until it has known that
+// daemon for a while, at half of the tokens towards the end.
 #pragma once
 
 #include <cstdint>
@@ -46,15 +46,14 @@
 // An owner takes over from the next one in the ranking when it has been known
 // for this long. Long enough that all daemons have heard of it.
 inline constexpr base::duration takeover_time{std::chrono::seconds{4}};
-// Near a takeover both owners fill their buckets at half of the rate.
+// For so long before a takeover the daemon that goes on grants half.
 inline constexpr base::duration takeover_margin{std::chrono::seconds{2}};
 
 // The heard daemons that may own the account, best first, at most `most`.
 std::vector<std::uint64_t> rank_owners(
     account_digest account, const quota_fleet& fleet, std::size_t most);
 
-// The part of the account's rate, in [0, 1], at which this daemon may fill its
-// bucket; 0 if another daemon owns the account, or none does because this one
+// The part of the account's tokens, in [0, 1], that this daemon may grant; 0 if another daemon owns the account, or none does because this one
 // does not hear most of the known daemons.
 double owned_share(account_digest account, const quota_fleet& fleet);
 
--- a/packages/schema/quota.hpp
+++ b/packages/schema/quota.hpp
@@ -22,8 +22,8 @@
 {
     // Digest of the account's name.
     std::uint64_t account{};
-    // Counts the holder's requests for this account; one that is sent again has
-    // the same.
+    // Counts the holder's requests, for all accounts; one that is sent again
+    // has the same.
     std::uint32_t sequence{};
     // Tokens for requests that wait, and for those to come.
     std::uint16_t needed{};
