--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -53,8 +53,9 @@
 std::vector<std::uint64_t> rank_owners(
     account_digest account, const quota_fleet& fleet, std::size_t most);
 
-// The part of the account's tokens, in [0, 1], that this daemon may grant; 0 if another daemon owns the account, or none does because this one
-// does not hear most of the known daemons.
+// The part of the account's tokens, in [0, 1], that this daemon may grant; 0 if
+// another daemon owns the account, or none does because this one does not hear
+// most of the known daemons.
 double owned_share(account_digest account, const quota_fleet& fleet);
 
 // The part of an account's rate that this daemon may send on its own while no
