Front: the token of a request's quota is a module of its own

Cause: request_flow held the quota of a request beside its attempts, and three cases were missing: a token taken before a long series of failed connections was used later than its owner counts it, a further send without a token ended with the reason of the send before it, and a waiting request that had ended could be called with a token. Change: request_quota takes, keeps, spends and gives back. A token older than four seconds is not used. A request that has not run and finds no token is refused with 4010. Result: account_quotas_test and decision_quotas_test pass.

--- a/packages/decision/quotas/quota_holder.cpp
+++ b/packages/decision/quotas/quota_holder.cpp
@@ -109,6 +109,14 @@
            take_token(found->second, now);
 }
 
+base::duration quota_holder::retry_after(account_digest account) const
+{
+    const auto found = accounts_.find(account);
+    return found == accounts_.end()
+               ? ask_interval
+               : std::max(found->second.retry_after, ask_interval);
+}
+
 void quota_holder::give_back(account_digest account)
 {
     const auto found = accounts_.find(account);
--- a/packages/decision/quotas/quota_holder.hpp
+++ b/packages/decision/quotas/quota_holder.hpp
@@ -83,6 +83,8 @@
     // The same for a request that is not worth waiting: true if a token is
     // here.
     bool spend_at_once(account_digest account, base::instant now);
+    // When a token is likely, as far as is known.
+    base::duration retry_after(account_digest account) const;
     // A token that was spent was not needed.
     void give_back(account_digest account);
     // A waiting request is no more.
--- a/packages/front/quota_exchange.cpp
+++ b/packages/front/quota_exchange.cpp
@@ -88,6 +88,11 @@
         quotas::digest_of_account(account.name), base::monotonic_clock::now());
 }
 
+base::duration quota_exchange::retry_after(const client_account& account) const
+{
+    return holder_.retry_after(quotas::digest_of_account(account.name));
+}
+
 void quota_exchange::give_back(const client_account& account)
 {
     holder_.give_back(quotas::digest_of_account(account.name));
@@ -240,6 +245,7 @@
     {
         if (auto wait = waiting.front().lock())
         {
+            wait->decided = true;
             ended.push_back(std::move(wait));
         }
         waiting.pop_front();
@@ -251,7 +257,16 @@
     const quotas::spend_result spent{spend_status::spent, {}, decision.paced};
     for (std::size_t i = 0; i < ended.size(); ++i)
     {
-        ended[i]->end(i < decision.spent ? spent : decision.refusal);
+        const bool has_token = i < decision.spent;
+        // One that was called before may have ended it.
+        if (ended[i]->end)
+        {
+            ended[i]->end(has_token ? spent : decision.refusal);
+        }
+        else if (has_token && !decision.paced)
+        {
+            holder_.give_back(decision.account);
+        }
     }
 }
 
--- a/packages/front/quota_exchange.hpp
+++ b/packages/front/quota_exchange.hpp
@@ -31,8 +31,11 @@
 // A request that waits for a token. It leaves the queue when it is destroyed.
 struct quota_wait
 {
-    // Called once, with `spent`, `exceeded` or `unconfirmed`.
+    // Called once, with `spent`, `exceeded` or `unconfirmed`. Empty if the
+    // request has ended meanwhile.
     std::function<void(const decision::quotas::spend_result&)> end{};
+    // The holder no longer counts it.
+    bool decided{false};
 };
 
 class quota_exchange
@@ -61,6 +64,9 @@
         const std::shared_ptr<quota_wait>& wait);
     // Whether a token is here for a further send of a request.
     bool acquire_at_once(const decision::accounts::client_account& account);
+    // When a token is likely, if there is none for a further send.
+    base::duration retry_after(
+        const decision::accounts::client_account& account) const;
     // A token that was taken was not needed.
     void give_back(const decision::accounts::client_account& account);
     // The request no longer waits. `wait` is dropped by its holder.
--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -128,8 +128,7 @@
     if (refused && outcome.ambiguous && !route_->idempotent)
     {
         // No proof that this request did not run.
-        execution_ = execution_state::unknown;
-        use_quota();
+        note_execution();
         context_.view.record_outcome(*worker, worker_incarnation_, true, now);
         refuse({result_code::answer_mismatched, worker->entry().id});
         return;
@@ -149,7 +148,7 @@
         retry_or_refuse({result_code::shed_by_upstream}, true);
         return;
     }
-    use_quota();
+    quota_.spend();
     const bool signed_by_worker =
         net::find_field(answer.fields, context_.fields.signature).has_value();
     if (signed_by_worker)
@@ -229,8 +228,7 @@
         retry_or_refuse({result_code::connect_failed}, false);
         return;
     }
-    execution_ = execution_state::unknown;
-    use_quota();
+    note_execution();
     if (outcome.status == exchange_status::invalid_answer)
     {
         ++context_.counts.answers_unreadable;
@@ -359,7 +357,7 @@
     }
     done_ = true;
     timer_.cancel();
-    release_quota();
+    quota_.release();
     ++context_.counts.ends[std::string{end}];
     context_.counts.answer_latency.add(
         base::monotonic_clock::now() - received_at_);
--- a/packages/front/request_flow.cpp
+++ b/packages/front/request_flow.cpp
@@ -29,8 +29,6 @@
 constexpr std::chrono::milliseconds min_time_for_attempt{40};
 // For the answer of a request that may be sent again.
 constexpr std::uint64_t max_set_aside_bytes = 512ULL * 1024;
-// Within the window of a quota in which its owner counts a token.
-constexpr std::chrono::seconds max_time_to_give_back{4};
 // Of the largest answer of late: set aside beyond it, since answers differ by
 // an id or a date.
 constexpr std::uint64_t answer_slack_parts = 8;
@@ -47,6 +45,7 @@
       body_bytes_{std::move(body_bytes)}, answer_memory_{std::move(
                                               answer_memory)},
       attempt_id_{header_value(request_.fields, context.fields.attempt_id)},
+      quota_{context.quota},
       received_at_{base::monotonic_clock::now()}, timer_{context.loop}
 {
     object_ = cookie_value(
@@ -72,7 +71,6 @@
 request_flow::~request_flow()
 {
     release_worker();
-    release_quota();
 }
 
 bool request_flow::repeatable() const
@@ -98,41 +96,24 @@
                 self->time_out();
             }
         });
-    acquire_quota();
+    // The wait for a token ends with this object.
+    quota_.acquire(
+        account_,
+        [this](const decision::quotas::spend_result& result)
+        {
+            const auto self = shared_from_this();
+            handle_quota(result);
+        });
 }
 
-void request_flow::acquire_quota()
+void request_flow::handle_quota(const decision::quotas::spend_result& result)
 {
-    if (!account_ || account_->requests_per_s <= 0)
+    if (done_)
     {
-        begin_attempt();
         return;
     }
-    quota_wait_ = std::make_shared<quota_wait>();
-    quota_wait_->end =
-        [weak = weak_from_this()](const decision::quotas::spend_result& result)
-    {
-        if (const auto self = weak.lock())
-        {
-            self->quota_wait_.reset();
-            self->handle_quota(result);
-        }
-    };
-    const auto result = context_.quota.acquire(*account_, quota_wait_);
-    if (result.status != spend_status::pending)
-    {
-        quota_wait_.reset();
-        handle_quota(result);
-    }
-}
-
-void request_flow::handle_quota(const decision::quotas::spend_result& result)
-{
     if (result.status == spend_status::spent)
     {
-        quota_held_ = !result.paced;
-        may_send_unpaid_ = result.paced;
-        quota_taken_at_ = base::monotonic_clock::now();
         begin_attempt();
         return;
     }
@@ -146,32 +127,10 @@
          account_->name});
 }
 
-bool request_flow::holds_quota()
+void request_flow::note_execution()
 {
-    const bool limited = account_ && account_->requests_per_s > 0;
-    if (!limited || quota_held_ || may_send_unpaid_)
-    {
-        return true;
-    }
-    quota_held_ = context_.quota.acquire_at_once(*account_);
-    quota_taken_at_ = base::monotonic_clock::now();
-    return quota_held_;
-}
-
-void request_flow::release_quota()
-{
-    if (quota_wait_)
-    {
-        quota_wait_.reset();
-        context_.quota.withdraw(*account_);
-    }
-    // Later the owner counts it no more.
-    const bool counted =
-        base::monotonic_clock::now() - quota_taken_at_ < max_time_to_give_back;
-    if (std::exchange(quota_held_, false) && counted)
-    {
-        context_.quota.give_back(*account_);
-    }
+    execution_ = execution_state::unknown;
+    quota_.spend();
 }
 
 void request_flow::reject(const base::error& reason, responder respond)
@@ -487,8 +446,7 @@
 {
     if (connection.request_sent())
     {
-        execution_ = execution_state::unknown;
-        use_quota();
+        note_execution();
         count_send();
     }
     connection.abandon();
@@ -498,20 +456,41 @@
 void request_flow::retry_or_refuse(const base::error& reason, bool costs_budget)
 {
     const auto now = base::monotonic_clock::now();
-    const bool retry =
-        !caller_gone_ && sends_ < route_->max_attempts &&
-        time_left() > min_time_for_attempt && holds_quota() &&
-        (!costs_budget || context_.view.spend_retry(service_, now));
-    if (retry)
+    const bool possible = !caller_gone_ && sends_ < route_->max_attempts &&
+                          time_left() > min_time_for_attempt;
+    if (!possible)
     {
-        if (sends_ > 0)
-        {
-            ++context_.counts.retries;
-        }
-        begin_attempt();
+        end_without_attempt(reason);
+        return;
+    }
+    if (!quota_.acquire_again())
+    {
+        refuse_without_token(reason);
+        return;
+    }
+    if (costs_budget && !context_.view.spend_retry(service_, now))
+    {
+        end_without_attempt(reason);
+        return;
+    }
+    if (sends_ > 0)
+    {
+        ++context_.counts.retries;
+    }
+    begin_attempt();
+}
+
+// The quota is the reason only if the request has not run: code 4010 says so.
+void request_flow::refuse_without_token(const base::error& reason)
+{
+    if (execution_ == execution_state::unknown)
+    {
+        end_without_attempt(reason);
         return;
     }
-    end_without_attempt(reason);
+    ++context_.counts.quota_exceeded;
+    quota_retry_after_ = quota_.retry_after();
+    refuse({result_code::quota_exceeded, account_->name});
 }
 
 void request_flow::time_out()
@@ -561,7 +540,7 @@
         abandon_attempt(*connection);
     }
     release_worker();
-    release_quota();
+    quota_.release();
     log_end("caller_gone", 0);
 }
 
--- a/packages/front/request_flow.hpp
+++ b/packages/front/request_flow.hpp
@@ -14,6 +14,7 @@
 #include "base/time.hpp"
 #include "decision/steering/configuration.hpp"
 #include "front/fleet_view.hpp"
+#include "front/request_quota.hpp"
 #include "front/serving_context.hpp"
 #include "front/upstream_connection.hpp"
 #include "net/answers.hpp"
@@ -74,20 +75,10 @@
     bool admit();
     // Finds the account of the caller's key.
     std::optional<base::result_code> authenticate();
-    // Takes a token of the account's quota, or waits for it, and begins the
-    // first attempt.
-    void acquire_quota();
+    // The first attempt, or a refusal if the account has used its quota.
     void handle_quota(const decision::quotas::spend_result& result);
-    // Whether a further send may be made: the token of an earlier one may be
-    // spent.
-    bool holds_quota();
-    void release_quota();
-    // A worker may have run the request: its token is spent.
-    void use_quota()
-    {
-        quota_held_ = false;
-        may_send_unpaid_ = false;
-    }
+    // A worker may have run the request.
+    void note_execution();
     void adopt_current_homes();
     placement_request placement() const;
     void begin_attempt();
@@ -123,6 +114,7 @@
     // Sends the request to another worker if attempts, time and retry budget
     // allow it; otherwise answers the caller with `reason`.
     void retry_or_refuse(const base::error& reason, bool costs_budget);
+    void refuse_without_token(const base::error& reason);
     void end_without_attempt(const base::error& reason);
     void time_out();
     void refuse(const base::error& reason);
@@ -149,13 +141,7 @@
     // Null if the caller named none. Of the configuration at the receipt, but
     // for its home regions.
     std::shared_ptr<const decision::accounts::client_account> account_;
-    // A token of the account's quota is taken for the next send.
-    bool quota_held_{false};
-    base::instant quota_taken_at_{};
-    // The next send needs none: no owner answered, and it is paced.
-    bool may_send_unpaid_{false};
-    // Not null while the request waits for a token.
-    std::shared_ptr<quota_wait> quota_wait_;
+    request_quota quota_;
     base::duration quota_retry_after_{};
     // The configuration at the receipt has accounts.
     bool keeps_key_back_{false};
