Front: an ambiguous refusal spends the token of its request

Cause: a refusal without an id on a kept connection may belong to an earlier request, so that this one may run. The token of an idempotent request stayed and was used for the next send. Change: the token is spent. Result: an_ambiguous_refusal_spends_the_token: 40 sends before, where 21.6 are allowed; passes after.

--- a/packages/front/request_answers.cpp
+++ b/packages/front/request_answers.cpp
@@ -133,6 +133,11 @@
         refuse({result_code::answer_mismatched, worker->entry().id});
         return;
     }
+    if (refused && outcome.ambiguous)
+    {
+        // It may be the answer to an earlier request, and this one may run.
+        quota_.spend();
+    }
     if (answer.status == status_misdirected)
     {
         // The address now belongs to another worker: the entry is outdated.
--- a/tests/front/account_quotas_test.cpp
+++ b/tests/front/account_quotas_test.cpp
@@ -104,6 +104,32 @@
     BOOST_TEST(response.starts_with("HTTP/1.1 200"), response);
 }
 
+// A refusal without an id on a kept connection may be the answer to an earlier
+// request. Requests were sent again and again with the token of the first send.
+BOOST_AUTO_TEST_CASE(an_ambiguous_refusal_spends_the_token)
+{
+    small_quota scene;
+    auto& worker = scene.front.add_worker(
+        "w",
+        [](int number)
+        {
+            return scripted_reply{
+                .answer = number == 0 ? "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+                                        "Content-Length: 1\r\n\r\nx"
+                                      : "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n"
+                                        "Content-Length: 0\r\n\r\n"};
+        });
+    for (int i = 0; i < 40; ++i)
+    {
+        scene.exchange(idempotent_request(std::to_string(i), key_field));
+    }
+    const decision::quotas::quota_terms terms;
+    constexpr double quota = 1.5;
+    BOOST_TEST(
+        static_cast<double>(worker.requests().size()) <=
+        quota * (1 + terms.overshoot) + terms.slack);
+}
+
 // Callers that leave while they wait, or are refused for want of a worker.
 BOOST_AUTO_TEST_CASE(requests_that_reach_no_worker_take_no_token)
 {
