--- a/tests/decision/quotas/quota_bound_test.cpp
+++ b/tests/decision/quotas/quota_bound_test.cpp
@@ -172,6 +172,47 @@
     BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
 }
 
+// The owner has granted the burst when it dies, and its successor granted the
+// rate from then on.
+BOOST_DATA_TEST_CASE(
+    a_burst_whose_owner_dies_passes_no_quota,
+    data::make(cases) * data::make({0, 1}) * data::make({300, 1'500, 4'000}),
+    what,
+    half,
+    dies_ms)
+{
+    auto scene = flood(what);
+    scene.load = [each = scene.load](std::size_t daemon, base::duration at)
+    { return at < 5s ? 0.0 : each(daemon, at); };
+    const auto dies = 5s + std::chrono::milliseconds{dies_ms};
+    scene.runs = [remaining = static_cast<std::size_t>(half),
+                  dies](std::size_t daemon, base::duration at)
+    { return at < dies || daemon == 0 || daemon % 2 == remaining; };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
+// The owner goes on with what it knew when it stood still, or begins anew.
+BOOST_DATA_TEST_CASE(
+    a_burst_whose_owner_freezes_passes_no_quota,
+    data::make(cases) * data::make({1'000, 2'500}),
+    what,
+    frozen_ms)
+{
+    auto scene = flood(what);
+    scene.load = [each = scene.load](std::size_t daemon, base::duration at)
+    { return at < 5s ? 0.0 : each(daemon, at); };
+    scene.frozen = [frozen_ms](std::size_t daemon, base::duration at)
+    {
+        const auto turn = 5500ms + (daemon % 3) * 700ms;
+        return at > turn && at < turn + std::chrono::milliseconds{frozen_ms};
+    };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
 BOOST_DATA_TEST_CASE(
     daemons_that_freeze_in_turn_pass_no_quota, data::make(cases))
 {
