Quotas: a daemon that still learns of others owns nothing

Cause: two seconds after a start a daemon took its list for complete. Change: a daemon owns accounts 1.5 s after its start, when no daemon has joined its list for 0.5 s; after 4 s in any case.

--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -34,13 +34,19 @@
     std::uint64_t self{};
     // All known daemons, including this one; none that leaves.
     std::span<const quota_member> members{};
-    // False for quota_settle_time after the start, and once this daemon leaves.
+    // What quota_settled() says; false once this daemon leaves.
     bool settled{};
 };
 
-// A daemon that has just started owns nothing for so long: it does not know all
-// others yet.
-inline constexpr base::duration quota_settle_time{std::chrono::seconds{2}};
+// A daemon that has just started does not know all others yet and owns nothing:
+// until it has run for so long,
+inline constexpr base::duration quota_settle_time{
+    std::chrono::milliseconds{1'500}};
+// and nobody has joined the daemons that it knows for so long,
+inline constexpr base::duration complete_list_time{
+    std::chrono::milliseconds{500}};
+// but no longer than this, since others may join again and again.
+inline constexpr base::duration max_settle_time{std::chrono::seconds{4}};
 // A daemon that is silent for longer is not asked.
 inline constexpr base::duration quota_silence{std::chrono::seconds{4}};
 // An owner takes over from the next one in the ranking when it has been known
@@ -49,6 +55,16 @@
 // For so long before a takeover the daemon that goes on grants half.
 inline constexpr base::duration takeover_margin{std::chrono::seconds{2}};
 
+// Whether a daemon that has run for `started_for` may own accounts;
+// `complete_for` is the time since a daemon joined those that it knows.
+constexpr bool quota_settled(
+    base::duration started_for, base::duration complete_for)
+{
+    const bool complete = complete_for >= complete_list_time;
+    return started_for >= quota_settle_time &&
+           (complete || started_for >= max_settle_time);
+}
+
 // The heard daemons that may own the account, best first, at most `most`.
 std::vector<std::uint64_t> rank_owners(
     account_digest account, const quota_fleet& fleet, std::size_t most);
--- a/packages/front/quota_exchange.cpp
+++ b/packages/front/quota_exchange.cpp
@@ -52,7 +52,8 @@
     // Alone among daemons that should be there, it knows nothing of the others.
     const bool alone = members_.size() == 1 && members.others_expected();
     const bool settled =
-        members.started_for(now) >= quotas::quota_settle_time &&
+        quotas::quota_settled(
+            members.started_for(now), members.complete_for(now)) &&
         !members.self().leaving && !alone;
     return {self, members_, settled};
 }
--- a/tests/decision/quotas/quota_fleet.hpp
+++ b/tests/decision/quotas/quota_fleet.hpp
@@ -227,16 +227,21 @@
     {
         const auto& one = daemons_[i];
         members_.clear();
+        auto complete_for = base::duration::max();
         for (std::size_t j = 0; j < daemons_.size(); ++j)
         {
             if (one.heard[j] != base::instant{})
             {
                 members_.push_back(
                     {j, now_ - one.heard[j], now_ - one.known_since[j]});
+                complete_for =
+                    std::min(complete_for, now_ - one.known_since[j]);
             }
         }
         return {
-            i, members_, now_ - one.started_at >= quotas::quota_settle_time};
+            i,
+            members_,
+            quotas::quota_settled(now_ - one.started_at, complete_for)};
     }
 
     void send_requests(std::size_t i)
--- a/tests/decision/quotas/quota_owner_test.cpp
+++ b/tests/decision/quotas/quota_owner_test.cpp
@@ -241,6 +241,17 @@
     }
 }
 
+// Daemons that started together knew only some of the others when they began
+// to own: two of them granted the tokens of one account.
+BOOST_AUTO_TEST_CASE(a_daemon_that_still_learns_of_others_owns_nothing)
+{
+    BOOST_TEST(!quota_settled(1s, 60s));
+    BOOST_TEST(!quota_settled(2s, 400ms));
+    BOOST_TEST(quota_settled(2s, 1s));
+    // Daemons that join again and again don't keep it from owning.
+    BOOST_TEST(quota_settled(4s, 0s));
+}
+
 // The one before it goes on until all know the new one, at half of the rate
 // towards the end.
 BOOST_AUTO_TEST_CASE(a_new_daemon_takes_over_once_it_is_known)
