Limits: saved credit no longer chooses the region that is always allowed

Cause (known red last_requests_test): one region is always allowed, the one with the most credit. A region without room saves the most, and got the first request of each daemon when traffic ended and it had room. Change: among regions that are all held back, credit that was saved does not count.

--- a/packages/decision/steering/region_shift_limiter.cpp
+++ b/packages/decision/steering/region_shift_limiter.cpp
@@ -80,13 +80,21 @@
     lose_unused_credit(now);
     const auto& recent = regions_[region];
     const double own_credit = credit_with_next(recent, step);
-    // The region with the most credit is always allowed, so that every request
-    // finds a region.
+    const double own_rank = fallback_rank(recent, step);
+    // One region is always allowed, so that every request finds a region.
     return own_credit >= 1.0 || allowed_share(recent, step) >= 1.0 ||
            std::ranges::all_of(
                regions_,
                [&](const auto& other)
-               { return credit_with_next(other.second, step) <= own_credit; });
+               { return fallback_rank(other.second, step) <= own_rank; });
+}
+
+// Saved credit doesn't count: a region that had no room for a while has the
+// most, and would get the first request of each daemon when it has room again.
+double region_shift_limiter::fallback_rank(
+    const region_count& one, double step) const
+{
+    return std::min(one.credit, 0.0) + allowed_share(one, step);
 }
 
 void region_shift_limiter::forget()
--- a/packages/decision/steering/region_shift_limiter.hpp
+++ b/packages/decision/steering/region_shift_limiter.hpp
@@ -77,6 +77,8 @@
     // Returns the credit including the next request's share; from 1 on the
     // region may take the request.
     double credit_with_next(const region_count& one, double step) const;
+    // The region with the highest one is allowed if no other is.
+    double fallback_rank(const region_count& one, double step) const;
 
     std::map<std::string, region_count> regions_;
     // Recent requests in all regions, exponentially decayed.
