Quotas: accounts are owned a second after a restart of all daemons

Daemons owned nothing for 1.5 s; then holders waited for 0.5 s more, since daemons that answer that they own nothing were taken for silent. Change: a daemon owns accounts a second after its start, as soon as its list has been complete for 0.5 s. If no candidate owns an account, they are asked again every 100 ms.

--- a/packages/decision/quotas/quota_holder.cpp
+++ b/packages/decision/quotas/quota_holder.cpp
@@ -251,8 +251,9 @@
         // The owner may have taken these back already. What was spent is
         // reported again, which errs on the safe side.
         state.returned -= state.asked->request.returned;
+        const bool ownerless = state.asked->ownerless;
         state.asked.reset();
-        state.silent_until = now + silent_time;
+        state.silent_until = now + (ownerless ? ownerless_time : silent_time);
         state.next_ask_at = state.silent_until;
         if (state.waiting > 0)
         {
@@ -271,6 +272,14 @@
     }
 }
 
+void quota_holder::ask_next(pending_ask& asked, base::instant now)
+{
+    asked.daemon = 0;
+    asked.candidate = (asked.candidate + 1) % max_candidates;
+    asked.ownerless = asked.ownerless || asked.candidate == 0;
+    asked.resend_at = asked.candidate == 0 ? now + resend_time : now;
+}
+
 std::optional<lease_decision> quota_holder::receive(
     const schema::lease_grant& grant,
     const quota_daemon& owner,
@@ -290,9 +299,7 @@
         // It may have been asked twice.
         if (owner.key == state.asked->daemon)
         {
-            ++state.asked->candidate;
-            state.asked->daemon = 0;
-            state.asked->resend_at = now;
+            ask_next(*state.asked, now);
         }
         return std::nullopt;
     }
--- a/packages/decision/quotas/quota_holder.hpp
+++ b/packages/decision/quotas/quota_holder.hpp
@@ -68,6 +68,13 @@
     static constexpr base::duration resend_time{std::chrono::milliseconds{100}};
     // An owner that leaves a request unanswered for this long is silent.
     static constexpr base::duration answer_time{std::chrono::milliseconds{350}};
+    // Daemons of an account's ranking that are asked in turn. If none of them
+    // owns it, they are asked again after resend_time.
+    static constexpr std::size_t max_candidates = 3;
+    // If nobody has owned the account for answer_time, as after a start of all
+    // daemons, they are asked again after this time.
+    static constexpr base::duration ownerless_time{
+        std::chrono::milliseconds{100}};
     // A silent owner is asked again after this time.
     static constexpr base::duration silent_time{std::chrono::milliseconds{500}};
     // How far ahead of need tokens are leased.
@@ -125,6 +132,8 @@
         schema::lease_request request{};
         std::size_t candidate{};
         std::uint64_t daemon{};
+        // The candidates answered, and none owned the account.
+        bool ownerless{};
         base::instant first_sent_at{};
         base::instant resend_at{};
     };
@@ -173,6 +182,8 @@
         base::instant now);
     std::optional<due_request> make_due(
         account_digest account, account_state& state, base::instant now);
+    // The daemon that was asked owns the account no more, or not yet.
+    static void ask_next(pending_ask& asked, base::instant now);
     lease_decision end_wait(
         account_digest account, account_state& state, base::instant now);
 
--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -40,8 +40,7 @@
 
 // A daemon that has just started does not know all others yet and owns nothing:
 // until it has run for so long,
-inline constexpr base::duration quota_settle_time{
-    std::chrono::milliseconds{1'500}};
+inline constexpr base::duration quota_settle_time{std::chrono::seconds{1}};
 // and nobody has joined the daemons that it knows for so long,
 inline constexpr base::duration complete_list_time{
     std::chrono::milliseconds{500}};
@@ -55,14 +54,23 @@
 // For so long before a takeover the daemon that goes on grants half.
 inline constexpr base::duration takeover_margin{std::chrono::seconds{2}};
 
-// Whether a daemon that has run for `started_for` may own accounts;
-// `complete_for` is the time since a daemon joined those that it knows.
-constexpr bool quota_settled(
-    base::duration started_for, base::duration complete_for)
+// What a daemon knows of its own list of daemons.
+struct member_list_state
 {
-    const bool complete = complete_for >= complete_list_time;
-    return started_for >= quota_settle_time &&
-           (complete || started_for >= max_settle_time);
+    // Since this daemon started.
+    base::duration started_for{};
+    // Since another daemon joined the list.
+    base::duration complete_for{};
+    // It knows no other daemon, but there should be some.
+    bool alone{};
+};
+
+// Whether the daemon may own accounts.
+constexpr bool quota_settled(const member_list_state& list)
+{
+    const bool complete = list.complete_for >= complete_list_time;
+    return !list.alone && list.started_for >= quota_settle_time &&
+           (complete || list.started_for >= max_settle_time);
 }
 
 // The heard daemons that may own the account, best first, at most `most`.
--- a/packages/front/quota_exchange.cpp
+++ b/packages/front/quota_exchange.cpp
@@ -17,8 +17,6 @@
 
 // The list of members is read again after this time.
 constexpr std::chrono::milliseconds members_lifetime{200};
-// Daemons of an account's ranking that are asked in turn.
-constexpr std::size_t max_candidates = 3;
 
 quotas::quota_limit limit_of(const client_account& account)
 {
@@ -49,13 +47,11 @@
             addresses_[peer.key] = peer.address;
         }
     }
-    // Alone among daemons that should be there, it knows nothing of the others.
-    const bool alone = members_.size() == 1 && members.others_expected();
-    const bool settled =
-        quotas::quota_settled(
-            members.started_for(now), members.complete_for(now)) &&
-        !members.self().leaving && !alone;
-    return {self, members_, settled};
+    const bool settled = quotas::quota_settled(
+        {.started_for = members.started_for(now),
+         .complete_for = members.complete_for(now),
+         .alone = members_.size() == 1 && members.others_expected()});
+    return {self, members_, settled && !members.self().leaving};
 }
 
 schema::quota_message quota_exchange::make_message() const
@@ -143,12 +139,12 @@
     for (const auto& [request, candidate] : due)
     {
         const auto ranked =
-            quotas::rank_owners(request.account, known, max_candidates);
-        if (candidate >= ranked.size())
+            quotas::rank_owners(request.account, known, holder_.max_candidates);
+        if (ranked.empty())
         {
             continue;
         }
-        const auto asked = ranked[candidate];
+        const auto asked = ranked[candidate % ranked.size()];
         holder_.note_asked(request.account, asked);
         if (asked == known.self)
         {
--- a/tests/decision/quotas/quota_holder_test.cpp
+++ b/tests/decision/quotas/quota_holder_test.cpp
@@ -167,6 +167,42 @@
     BOOST_TEST(next->candidate == 1U);
 }
 
+// After a start of all daemons nobody owns the account for a second. The
+// requests of most of that second were refused until 0.5 s after its end.
+BOOST_AUTO_TEST_CASE(an_account_that_nobody_owns_is_asked_for_again_and_again)
+{
+    spend();
+    const auto first = holder.due_request_of(account, now);
+    BOOST_REQUIRE(first.has_value());
+    const auto deny = [&]
+    {
+        holder.note_asked(account, owner.key);
+        holder.receive(
+            {.account = account,
+             .sequence = first->request.sequence,
+             .status = lease_status::not_owner},
+            owner,
+            now);
+        return holder.due_request_of(account, now);
+    };
+    for (std::size_t i = 1; i < quota_holder::max_candidates; ++i)
+    {
+        const auto next = deny();
+        BOOST_REQUIRE(next.has_value());
+        BOOST_TEST(next->candidate == i);
+    }
+    BOOST_TEST(!deny().has_value());
+    now += quota_holder::resend_time;
+    const auto again = holder.due_request_of(account, now);
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->candidate == 0U);
+    now += quota_holder::answer_time;
+    BOOST_TEST(holder.overdue(now).size() == 1U);
+    now += quota_holder::ownerless_time;
+    BOOST_TEST(spend() == spend_status::pending);
+    BOOST_TEST(holder.due_request_of(account, now).has_value());
+}
+
 // Without an answer nobody may wait until the caller's deadline.
 BOOST_AUTO_TEST_CASE(requests_of_a_silent_owner_are_paced)
 {
