Quotas: daemons that join or return leave owners what they know

And a daemon that owned an account for one that had just returned saved the tokens of a burst while that one granted, too, and used them when that one was gone. Change: a daemon that was settled once stays so. Who owns an account for another saves no burst.

--- a/packages/decision/quotas/quota_owner.cpp
+++ b/packages/decision/quotas/quota_owner.cpp
@@ -141,7 +141,7 @@
     const double initial = initial_tokens(limit, terms_);
     if (added)
     {
-        state.bucket = bucket_capacity(limit);
+        state.bucket = bucket_capacity(limit, false);
         state.filled_at = now;
     }
     // An owner before may have granted the tokens of a window.
@@ -154,20 +154,23 @@
     return state;
 }
 
-double quota_owner::bucket_capacity(const quota_limit& limit) const
+// Tokens for a burst are not saved while another daemon may grant them, too.
+double quota_owner::bucket_capacity(
+    const quota_limit& limit, bool for_another) const
 {
-    return limit.burst + initial_tokens(limit, terms_);
+    return (for_another ? 0 : limit.burst) + initial_tokens(limit, terms_);
 }
 
 void quota_owner::fill_bucket(
-    account_state& state, double share, base::instant now) const
+    account_state& state, const ownership& own, base::instant now) const
 {
     const seconds elapsed{now - state.filled_at};
-    const double tokens_per_s = share * tokens_of_window(state.limit, terms_) /
+    const double tokens_per_s = own.share *
+                                tokens_of_window(state.limit, terms_) /
                                 seconds{terms_.window}.count();
     state.bucket = std::min(
         state.bucket + tokens_per_s * elapsed.count(),
-        bucket_capacity(state.limit));
+        bucket_capacity(state.limit, own.for_another));
     state.filled_at = now;
 }
 
@@ -250,8 +253,10 @@
     const quota_fleet& fleet,
     base::instant now)
 {
-    const double share = owned_share(request.account, fleet);
-    if (share <= 0)
+    const ownership own{
+        owned_share(request.account, fleet),
+        owns_for_another(request.account, fleet)};
+    if (own.share <= 0)
     {
         return {
             .account = request.account,
@@ -274,7 +279,7 @@
         return one.latest;
     }
     record_report(state, one, request, now);
-    one.latest = grant_from(state, one, request, share, now);
+    one.latest = grant_from(state, one, request, own, now);
     return one.latest;
 }
 
@@ -282,18 +287,19 @@
     account_state& state,
     lease& to,
     const schema::lease_request& request,
-    double share,
+    const ownership& own,
     base::instant now) const
 {
     const double all_tokens = tokens_of_window(state.limit, terms_);
-    fill_bucket(state, share, now);
-    const double available = std::min(
-        share * all_tokens - state.spent.count(now) - state.held, state.bucket);
+    const double own_tokens = own.share * all_tokens;
+    fill_bucket(state, own, now);
+    const double used = state.spent.count(now) + state.held;
+    const double available = std::min(own_tokens - used, state.bucket);
     const auto needed = divide(available, request.needed);
+    const double capacity = bucket_capacity(state.limit, own.for_another);
     const double unreserved = std::min(
-        share * all_tokens * (1 - reserved_part) - state.spent.count(now) -
-            state.held,
-        state.bucket - (1 - reserved_part) * bucket_capacity(state.limit));
+        own_tokens * (1 - reserved_part) - used,
+        state.bucket - (1 - reserved_part) * capacity);
     const auto ahead =
         std::min(request.ahead, whole_tokens(unreserved - needed));
     const auto granted = static_cast<std::uint32_t>(needed) + ahead;
--- a/packages/decision/quotas/quota_owner.hpp
+++ b/packages/decision/quotas/quota_owner.hpp
@@ -110,9 +110,19 @@
         std::unordered_map<std::uint64_t, lease> leases{};
     };
 
-    double bucket_capacity(const quota_limit& limit) const;
+    // What this daemon may grant now.
+    struct ownership
+    {
+        // Of the account's tokens, in (0, 1].
+        double share{};
+        // The daemon that is to own the account may have granted some of them
+        // meanwhile.
+        bool for_another{};
+    };
+
+    double bucket_capacity(const quota_limit& limit, bool for_another) const;
     void fill_bucket(
-        account_state& state, double share, base::instant now) const;
+        account_state& state, const ownership& own, base::instant now) const;
     void follow(const quota_fleet& fleet, base::instant now);
     account_state& state_of(
         account_digest account,
@@ -123,7 +133,7 @@
         account_state& state,
         lease& to,
         const schema::lease_request& request,
-        double share,
+        const ownership& own,
         base::instant now) const;
     void change_limit(account_state& state, const quota_limit& limit) const;
     static void end_leases(account_state& state, base::instant now);
--- a/packages/decision/quotas/quota_ranking.cpp
+++ b/packages/decision/quotas/quota_ranking.cpp
@@ -79,6 +79,18 @@
     return share;
 }
 
+bool owns_for_another(account_digest account, const quota_fleet& fleet)
+{
+    const auto own_rank = rank_of(account, fleet.self);
+    return std::ranges::any_of(
+        fleet.members,
+        [&](const quota_member& one)
+        {
+            return one.key != fleet.self && heard(one) &&
+                   rank_of(account, one.key) < own_rank;
+        });
+}
+
 double uncoordinated_share(const quota_fleet& fleet)
 {
     const auto known = static_cast<double>(fleet.members.size());
--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -34,7 +34,7 @@
     std::uint64_t self{};
     // All known daemons, including this one; none that leaves.
     std::span<const quota_member> members{};
-    // What quota_settled() says; false once this daemon leaves.
+    // What settle_gate says; false once this daemon leaves.
     bool settled{};
 };
 
@@ -65,13 +65,24 @@
     bool alone{};
 };
 
-// Whether the daemon may own accounts.
-constexpr bool quota_settled(const member_list_state& list)
+// Whether this daemon may own accounts. Once it may, others that join say
+// nothing against its list: an owner that paused for each would have granted
+// tokens that the next one doesn't know of.
+class settle_gate
 {
-    const bool complete = list.complete_for >= complete_list_time;
-    return !list.alone && list.started_for >= quota_settle_time &&
-           (complete || list.started_for >= max_settle_time);
-}
+public:
+    bool open(const member_list_state& list)
+    {
+        const bool complete = list.complete_for >= complete_list_time ||
+                              list.started_for >= max_settle_time;
+        was_complete_ = was_complete_ ||
+                        (list.started_for >= quota_settle_time && complete);
+        return was_complete_ && !list.alone;
+    }
+
+private:
+    bool was_complete_{false};
+};
 
 // The heard daemons that may own the account, best first, at most `most`.
 std::vector<std::uint64_t> rank_owners(
@@ -82,6 +93,10 @@
 // most of the known daemons.
 double owned_share(account_digest account, const quota_fleet& fleet);
 
+// Whether a daemon that precedes this one in the account's ranking is heard, so
+// that this one owns it at most until that one is known for long enough.
+bool owns_for_another(account_digest account, const quota_fleet& fleet);
+
 // The part of an account's rate that this daemon may send on its own while no
 // owner answers. All of them together stay far below the rate, since an owner
 // that this daemon does not reach may go on granting.
--- a/packages/front/quota_exchange.cpp
+++ b/packages/front/quota_exchange.cpp
@@ -47,7 +47,7 @@
             addresses_[peer.key] = peer.address;
         }
     }
-    const bool settled = quotas::quota_settled(
+    const bool settled = settle_gate_.open(
         {.started_for = members.started_for(now),
          .complete_for = members.complete_for(now),
          .alone = members_.size() == 1 && members.others_expected()});
--- a/packages/front/quota_exchange.hpp
+++ b/packages/front/quota_exchange.hpp
@@ -113,6 +113,7 @@
     std::vector<decision::quotas::quota_member> members_;
     std::unordered_map<std::uint64_t, base::endpoint> addresses_;
     base::instant members_read_at_{};
+    decision::quotas::settle_gate settle_gate_{};
     boost::asio::steady_timer timer_;
     bool check_scheduled_{false};
 };
--- a/packages/front/request_quota.cpp
+++ b/packages/front/request_quota.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 void request_quota::acquire(
-    std::shared_ptr<const client_account> account, handler decided)
+    std::shared_ptr<const client_account> account, const handler& decided)
 {
     account_ = std::move(account);
     if (!limited())
--- a/packages/front/request_quota.hpp
+++ b/packages/front/request_quota.hpp
@@ -33,7 +33,7 @@
     // release() is called before.
     void acquire(
         std::shared_ptr<const decision::accounts::client_account> account,
-        handler decided);
+        const handler& decided);
     // Whether a further send may be made. Takes another token if the first is
     // spent.
     bool acquire_again();
--- a/tests/decision/quotas/quota_bound_test.cpp
+++ b/tests/decision/quotas/quota_bound_test.cpp
@@ -227,6 +227,33 @@
     BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
 }
 
+// One of them owns the account, or comes next. A daemon that joins the others
+// made an owner forget what it had granted, and the next one had tokens left.
+BOOST_DATA_TEST_CASE(
+    restarts_that_overlap_pass_no_quota,
+    data::xrange(5) * data::xrange(5) *
+        data::make({6'500, 6'700, 6'900, 7'300, 8'000}),
+    one,
+    other,
+    other_back_ms)
+{
+    auto scene = flood({5, 30});
+    scene.load = [](std::size_t, base::duration) { return 40.0; };
+    scene.gossip_delay = 500ms;
+    scene.runs = [=, back = std::chrono::milliseconds{other_back_ms}](
+                     std::size_t daemon, base::duration at)
+    {
+        const bool one_down =
+            daemon == static_cast<std::size_t>(one) && at > 4s && at < 5'500ms;
+        const bool other_down = daemon == static_cast<std::size_t>(other) &&
+                                at > 3'500ms && at < back;
+        return !one_down && !other_down;
+    };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
 // Both sides get callers. The owner is on one of them.
 BOOST_DATA_TEST_CASE(
     a_cut_passes_no_quota,
--- a/tests/decision/quotas/quota_fleet.hpp
+++ b/tests/decision/quotas/quota_fleet.hpp
@@ -36,6 +36,8 @@
                   { return true; }};
     // The limit from this time on.
     std::function<quotas::quota_limit(base::duration at)> limit_at{};
+    // How long a heartbeat takes to reach all daemons.
+    base::duration gossip_delay{std::chrono::milliseconds{1'500}};
     // Part of the messages that is lost.
     double loss{0};
 };
@@ -121,8 +123,6 @@
     static constexpr base::instant begin{std::chrono::hours{2}};
     static constexpr std::size_t regions = 3;
     static constexpr quotas::account_digest account = 4711;
-    // How long a heartbeat takes to reach all daemons.
-    static constexpr std::chrono::milliseconds gossip_delay{1'500};
 
     struct daemon
     {
@@ -133,6 +133,7 @@
 
         quotas::quota_holder holder;
         quotas::quota_owner owner;
+        quotas::settle_gate settled{};
         bool running{false};
         base::instant started_at{};
         std::vector<base::instant> heard;
@@ -205,12 +206,13 @@
         auto& one = daemons_[i];
         for (std::size_t j = 0; j < daemons_.size(); ++j)
         {
-            const auto told = at() - gossip_delay;
+            const auto told = at() - scene_.gossip_delay;
             const bool heard =
-                j == i || (daemons_[j].running && scene_.runs(j, told) &&
-                           !scene_.frozen(j, told) &&
-                           daemons_[j].started_at + gossip_delay <= now_ &&
-                           scene_.connected(i, j, at()));
+                j == i ||
+                (daemons_[j].running && scene_.runs(j, told) &&
+                 !scene_.frozen(j, told) &&
+                 daemons_[j].started_at + scene_.gossip_delay <= now_ &&
+                 scene_.connected(i, j, at()));
             if (!heard)
             {
                 continue;
@@ -224,7 +226,7 @@
 
     quotas::quota_fleet view_of(std::size_t i)
     {
-        const auto& one = daemons_[i];
+        auto& one = daemons_[i];
         members_.clear();
         auto complete_for = base::duration::max();
         for (std::size_t j = 0; j < daemons_.size(); ++j)
@@ -240,7 +242,7 @@
         return {
             i,
             members_,
-            quotas::quota_settled(
+            one.settled.open(
                 {.started_for = now_ - one.started_at,
                  .complete_for = complete_for,
                  .alone = members_.size() == 1 && daemons_.size() > 1})};
--- a/tests/decision/quotas/quota_owner_test.cpp
+++ b/tests/decision/quotas/quota_owner_test.cpp
@@ -194,6 +194,42 @@
     BOOST_TEST(owner.size() == 0U);
 }
 
+// While the daemon that precedes it in the ranking came and went, it saved a
+// burst beside what that one granted.
+BOOST_AUTO_TEST_CASE(an_owner_for_another_saves_no_burst)
+{
+    const auto ranked = rank_owners(
+        7,
+        {1,
+         std::vector<quota_member>{{1, 0s, 60s}, {2, 0s, 60s}, {3, 0s, 60s}},
+         true},
+        3);
+    members = {{ranked[0], 0s, 0s}, {ranked[1], 0s, 60s}, {ranked[2], 0s, 60s}};
+    const quota_fleet fleet{ranked[1], members, true};
+    BOOST_TEST(owns_for_another(7, fleet));
+    quota_owner second{quota_terms{}};
+    const quota_limit usual{20, 20};
+    std::uint32_t sequence = 0;
+    const auto grant = [&](std::uint16_t needed)
+    {
+        return second
+            .grant(
+                {.account = 7, .sequence = ++sequence, .needed = needed},
+                one,
+                usual,
+                fleet,
+                now)
+            .tokens;
+    };
+    grant(1);
+    for (int i = 0; i < 20; ++i, now += 100ms)
+    {
+        second.refresh(fleet, now);
+        grant(0);
+    }
+    BOOST_TEST(grant(100) <= initial_tokens(usual, quota_terms{}));
+}
+
 BOOST_AUTO_TEST_CASE(idle_accounts_are_forgotten)
 {
     pass(61s, false);
@@ -245,12 +281,23 @@
 // to own: two of them granted the tokens of one account.
 BOOST_AUTO_TEST_CASE(a_daemon_that_still_learns_of_others_owns_nothing)
 {
-    BOOST_TEST(!quota_settled({900ms, 60s, false}));
-    BOOST_TEST(!quota_settled({2s, 400ms, false}));
-    BOOST_TEST(!quota_settled({60s, 60s, true}));
-    BOOST_TEST(quota_settled({2s, 1s, false}));
+    const auto may_own = [](const member_list_state& list)
+    { return settle_gate{}.open(list); };
+    BOOST_TEST(!may_own({900ms, 60s, false}));
+    BOOST_TEST(!may_own({2s, 400ms, false}));
+    BOOST_TEST(!may_own({60s, 60s, true}));
+    BOOST_TEST(may_own({2s, 1s, false}));
     // Daemons that join again and again don't keep it from owning.
-    BOOST_TEST(quota_settled({4s, 0s, false}));
+    BOOST_TEST(may_own({4s, 0s, false}));
+}
+
+// The account had no owner for a moment, and two of them in a window.
+BOOST_AUTO_TEST_CASE(a_daemon_that_joins_takes_nothing_from_an_owner)
+{
+    settle_gate gate;
+    BOOST_TEST(gate.open({2s, 1s, false}));
+    BOOST_TEST(gate.open({2100ms, 0s, false}));
+    BOOST_TEST(!gate.open({2200ms, 0s, true}));
 }
 
 // The one before it goes on until all know the new one, at half of the rate
