Quotas: who stands in for an owner that is back grants little

Change: it grants a quarter of the rate from half a second on after it has heard the owner again, in place of half from two seconds on.

--- a/packages/decision/quotas/quota_ranking.cpp
+++ b/packages/decision/quotas/quota_ranking.cpp
@@ -73,8 +73,8 @@
         {
             return 0;
         }
-        const bool near = one.known_for >= takeover_time - takeover_margin;
-        share = near ? heard_count / known / 2 : share;
+        const bool near = one.known_for >= handover_time;
+        share = near ? handover_part * heard_count / known : share;
     }
     return share;
 }
--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -4,7 +4,7 @@
 // Daemons learn of one another at different times. So that two of them do not
 // grant the tokens of one account for long, a daemon that has just started owns
 // nothing, and its successor in the ranking goes on until it has known that
-// daemon for a while, at half of the tokens towards the end.
+// daemon for a while, with few of the tokens towards the end.
 #pragma once
 
 #include <cstdint>
@@ -51,8 +51,10 @@
 // An owner takes over from the next one in the ranking when it has been known
 // for this long. Long enough that all daemons have heard of it.
 inline constexpr base::duration takeover_time{std::chrono::seconds{4}};
-// For so long before a takeover the daemon that goes on grants half.
-inline constexpr base::duration takeover_margin{std::chrono::seconds{2}};
+// From this time on most daemons ask the returning owner, and the one that went
+// on grants little: to those that don't know of that one yet.
+inline constexpr base::duration handover_time{std::chrono::milliseconds{500}};
+inline constexpr double handover_part = 0.25;
 
 // What a daemon knows of its own list of daemons.
 struct member_list_state
--- a/tests/decision/quotas/quota_bound_test.cpp
+++ b/tests/decision/quotas/quota_bound_test.cpp
@@ -254,6 +254,25 @@
     BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
 }
 
+// Those that learn late that an owner is back ask the daemon that stood in for
+// it, which granted them the rate beside the owner.
+BOOST_DATA_TEST_CASE(
+    an_owner_that_few_know_again_passes_no_quota,
+    data::xrange(11) * data::make({2, 4}),
+    owner,
+    late)
+{
+    auto scene = flood({11, 30});
+    scene.load = [](std::size_t, base::duration) { return 20.0; };
+    scene.gossip_delay = 500ms;
+    scene.late_daemons = static_cast<std::size_t>(late);
+    scene.runs = [=](std::size_t daemon, base::duration at)
+    { return daemon != static_cast<std::size_t>(owner) || at < 1s || at > 6s; };
+    quota_fleet fleet{scene};
+    fleet.play();
+    BOOST_TEST(fleet.most_in_window(0s) <= quota_fleet::bound(scene.limit));
+}
+
 // Both sides get callers. The owner is on one of them.
 BOOST_DATA_TEST_CASE(
     a_cut_passes_no_quota,
