Quotas: an owner that stood still forgets before it grants

The owner was paused for 2.4 s. Requests that had come meanwhile were handled before the refresh that was due, with a bucket that had filled; then it forgot that it had granted them. Change: the pause is noticed at a request for a lease, too.

--- a/packages/decision/quotas/quota_owner.cpp
+++ b/packages/decision/quotas/quota_owner.cpp
@@ -263,6 +263,7 @@
             .sequence = request.sequence,
             .status = schema::lease_status::not_owner};
     }
+    forget_after_pause(now);
     auto& state = state_of(request.account, limit, fleet, now);
     end_leases(state, now);
     auto& one = state.leases[holder.key];
@@ -326,18 +327,30 @@
     return grant;
 }
 
+// After a pause of the process a request may come before the refresh that is
+// due.
+void quota_owner::forget_after_pause(base::instant now)
+{
+    if (now - refreshed_at_ <= max_refresh_pause)
+    {
+        return;
+    }
+    accounts_.clear();
+    fleet_since_ = now;
+    refreshed_at_ = now;
+}
+
 void quota_owner::refresh(const quota_fleet& fleet, base::instant now)
 {
     follow(fleet, now);
-    const bool paused = now - refreshed_at_ > max_refresh_pause;
-    fleet_since_ = paused ? now : fleet_since_;
+    forget_after_pause(now);
     refreshed_at_ = now;
     std::erase_if(
         accounts_,
         [&](const auto& item)
         {
             const auto& [account, state] = item;
-            return paused || now - state.asked_at > idle_time ||
+            return now - state.asked_at > idle_time ||
                    owned_share(account, fleet) <= 0;
         });
     for (auto& [account, state] : accounts_)
--- a/packages/decision/quotas/quota_owner.hpp
+++ b/packages/decision/quotas/quota_owner.hpp
@@ -124,6 +124,7 @@
     void fill_bucket(
         account_state& state, const ownership& own, base::instant now) const;
     void follow(const quota_fleet& fleet, base::instant now);
+    void forget_after_pause(base::instant now);
     account_state& state_of(
         account_digest account,
         const quota_limit& limit,
--- a/tests/decision/quotas/quota_owner_test.cpp
+++ b/tests/decision/quotas/quota_owner_test.cpp
@@ -185,6 +185,16 @@
         initial_tokens(limit, terms));
 }
 
+// Requests that had come meanwhile were granted a burst, before it forgot what
+// it had granted.
+BOOST_AUTO_TEST_CASE(an_owner_that_stood_still_forgets_before_it_grants)
+{
+    now += 3s;
+    BOOST_TEST(
+        ask({.account = 7, .sequence = 2, .needed = 50}) <=
+        initial_tokens(limit, terms));
+}
+
 BOOST_AUTO_TEST_CASE(an_owner_that_others_replaced_begins_anew)
 {
     members[0].silence = 60s;
