--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -38,13 +38,14 @@
     bool settled{};
 };
 
-// A daemon that has just started does not know all others yet and owns nothing:
-// until it has run for so long,
+// A daemon owns no account for so long after its start: it does not know all
+// others yet.
 inline constexpr base::duration quota_settle_time{std::chrono::seconds{1}};
-// and nobody has joined the daemons that it knows for so long,
+// Its list of daemons is complete when none has joined it for this long.
 inline constexpr base::duration complete_list_time{
     std::chrono::milliseconds{500}};
-// but no longer than this, since others may join again and again.
+// After this time it owns accounts with any list, since others may join again
+// and again.
 inline constexpr base::duration max_settle_time{std::chrono::seconds{4}};
 // A daemon that is silent for longer is not asked.
 inline constexpr base::duration quota_silence{std::chrono::seconds{4}};
