--- a/packages/decision/quotas/quota_ranking.hpp
+++ b/packages/decision/quotas/quota_ranking.hpp
@@ -52,9 +52,10 @@
 // An owner takes over from the next one in the ranking when it has been known
 // for this long. Long enough that all daemons have heard of it.
 inline constexpr base::duration takeover_time{std::chrono::seconds{4}};
-// From this time on most daemons ask the returning owner, and the one that went
-// on grants little: to those that don't know of that one yet.
+// Most daemons ask a returning owner once it has been known for this long.
 inline constexpr base::duration handover_time{std::chrono::milliseconds{500}};
+// The part of the tokens that the daemon in its place grants from then on, to
+// those that have not heard of the owner yet.
 inline constexpr double handover_part = 0.25;
 
 // What a daemon knows of its own list of daemons.
--- a/tests/decision/quotas/quota_owner_test.cpp
+++ b/tests/decision/quotas/quota_owner_test.cpp
@@ -329,8 +329,8 @@
         return owned_share(9, {ranked[1], members, true});
     };
     BOOST_TEST(share_of_second(400ms) == 1.0);
-    BOOST_TEST(share_of_second(1s) == handover_part);
-    BOOST_TEST(share_of_second(3s) == handover_part);
+    BOOST_TEST(share_of_second(1s) == 0.25);
+    BOOST_TEST(share_of_second(3s) == 0.25);
     BOOST_TEST(share_of_second(5s) == 0.0);
 }
 
--- a/tests/decision/steering/fleet_members_test.cpp
+++ b/tests/decision/steering/fleet_members_test.cpp
@@ -136,7 +136,6 @@
     }
 }
 
-// Limit: a stopped daemon is not listed as live 7 s later.
 // After a start of all, small groups knew only one another for two seconds:
 // several daemons took themselves for the owner of one account.
 BOOST_DATA_TEST_CASE(
@@ -170,6 +169,7 @@
     }
 }
 
+// Limit: a stopped daemon is not listed as live 7 s later.
 BOOST_AUTO_TEST_CASE(a_silent_daemon_is_not_live_after_seven_seconds)
 {
     fleet cluster{11};
