--- a/packages/front/request_metrics.cpp
+++ b/packages/front/request_metrics.cpp
@@ -103,6 +103,16 @@
         "store_failures_total",
         "Calls to the store without a usable answer.",
         counts.store_failures);
+    add_counter(
+        text,
+        "table_bytes_discarded_total",
+        "Bytes of the store's rows that were read in vain.",
+        counts.table_bytes_discarded);
+    text += fmt::format(
+        "# HELP waxwingvalve_configuration Number of the one in force.\n"
+        "# TYPE waxwingvalve_configuration gauge\n"
+        "waxwingvalve_configuration {}\n",
+        counts.configuration);
     add_counter(
         text,
         "health_checks_total",
--- a/packages/front/request_metrics.hpp
+++ b/packages/front/request_metrics.hpp
@@ -50,6 +50,10 @@
     std::uint64_t retries{};
     std::uint64_t callers_gone{};
     std::uint64_t store_failures{};
+    // Of answers with rows that failed before they were whole.
+    std::uint64_t table_bytes_discarded{};
+    // Number of the configuration in force.
+    std::uint64_t configuration{};
     std::uint64_t health_checks{};
     std::uint64_t health_answers{};
     std::uint64_t requests_unreadable{};
--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -85,6 +85,8 @@
     std::array<char, 8 * 1024> input{};
     answer_reader reader{};
     base::instant last_heard{};
+    // In the last exchange.
+    std::uint64_t received_bytes{0};
     bool usable{false};
 };
 
@@ -126,6 +128,7 @@
     // Set before the first byte can leave: a cancellation anywhere below
     // must leave the connection unusable.
     state_->usable = false;
+    state_->received_bytes = 0;
     auto message = to_message(request);
     state_->stream.expires_at(deadline);
     auto [write_failure, written] =
@@ -199,6 +202,7 @@
             co_return boost::outcome_v2::failure(
                 to_error(failure, result_code::answer_lost));
         }
+        received_bytes += size;
         reader.append(asio::buffer(input, size));
     }
 }
@@ -223,6 +227,11 @@
     return state_->last_heard;
 }
 
+std::uint64_t http_connection::received_bytes() const
+{
+    return state_->received_bytes;
+}
+
 void http_connection::close()
 {
     state_->usable = false;
--- a/packages/net/http_client.hpp
+++ b/packages/net/http_client.hpp
@@ -64,6 +64,8 @@
     bool open() const;
     // When the other end was last heard on this connection.
     base::instant last_heard() const;
+    // Bytes that came in the last exchange, whether or not it ended well.
+    std::uint64_t received_bytes() const;
     void close();
 
 private:
