--- a/tests/platform/store_watch_fixture.cpp
+++ b/tests/platform/store_watch_fixture.cpp
@@ -133,13 +133,16 @@
     watch.start();
 }
 
-void relay_daemon::announce_to(front::fleet_view& other, std::string name)
+void relay_daemon::announce_at(
+    front::fleet_view& other,
+    std::string name,
+    const base::endpoint& control_address)
 {
     auto member = make_local_member();
     member.name = std::move(name);
     member.incarnation = 1;
     member.heartbeat = ++heartbeat_;
-    member.control_address = address_;
+    member.control_address = control_address;
     front::steering::fleet_beat beat;
     beat.sender = member;
     other.members.receive(beat, base::monotonic_clock::now());
--- a/tests/platform/store_watch_fixture.hpp
+++ b/tests/platform/store_watch_fixture.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 
@@ -69,7 +70,16 @@
     void announce() { announce_to(fixture_.view, "first"); }
     // Tells the daemon of another view of this one. The daemon with the lowest
     // name reads the store; the other's is "self".
-    void announce_to(front::fleet_view& other, std::string name);
+    void announce_to(front::fleet_view& other, std::string name)
+    {
+        announce_at(other, std::move(name), address_);
+    }
+    // The same with another address, which leads to this daemon.
+    void announce_at(
+        front::fleet_view& other,
+        std::string name,
+        const base::endpoint& control_address);
+    const base::endpoint& address() const { return address_; }
 
     front::fleet_view view;
     platform::store_watch watch;
