Store watch: a read of a table lasts as long as its bytes arrive

A read of the store had 1 s in all, one of another daemon 0.4 s. A configuration of a megabyte takes longer on 10 Mbit/s, so that each read of it was given up with most of its bytes there, and begun again from the first, for as long as the daemon lived.

--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 
@@ -78,7 +79,9 @@
     }
 
     asio::awaitable<base::result<received_message<false>>> receive(
-        bool without_body);
+        bool without_body, const answer_time& time);
+    // When the next bytes are waited for no longer.
+    base::instant next_bytes_by(const answer_time& time) const;
 
     message_limits limits;
     beast::tcp_stream stream;
@@ -124,13 +127,24 @@
 
 asio::awaitable<exchange_result> http_connection::exchange(
     const http_request& request, base::instant deadline)
+{
+    return exchange(
+        request,
+        answer_time{
+            .first_byte_by = deadline,
+            .max_pause = base::duration::max(),
+            .end_by = deadline});
+}
+
+asio::awaitable<exchange_result> http_connection::exchange(
+    const http_request& request, answer_time time)
 {
     // Set before the first byte can leave: a cancellation anywhere below
     // must leave the connection unusable.
     state_->usable = false;
     state_->received_bytes = 0;
     auto message = to_message(request);
-    state_->stream.expires_at(deadline);
+    state_->stream.expires_at(time.first_byte_by);
     auto [write_failure, written] =
         co_await http::async_write(state_->stream, message, use_tuple);
     if (write_failure)
@@ -143,12 +157,12 @@
     }
 
     // The answer to a HEAD request carries a length but no body.
-    auto received = co_await state_->receive(request.method == "HEAD");
+    auto received = co_await state_->receive(request.method == "HEAD", time);
     for (int seen = 0; seen < max_interim_answers && received &&
                        interim(received.value().message);
          ++seen)
     {
-        received = co_await state_->receive(request.method == "HEAD");
+        received = co_await state_->receive(request.method == "HEAD", time);
     }
     // Still an interim answer, or one that switches protocols, which is none.
     const bool final_answer =
@@ -175,7 +189,7 @@
 // cannot be told from one that was cut short, so it does not count as whole,
 // not even when empty.
 asio::awaitable<base::result<received_message<false>>>
-http_connection::state::receive(bool without_body)
+http_connection::state::receive(bool without_body, const answer_time& time)
 {
     reader.begin(limits, without_body);
     for (;;)
@@ -194,6 +208,7 @@
         {
             continue;
         }
+        stream.expires_at(next_bytes_by(time));
         auto [failure, size] =
             co_await stream.async_read_some(asio::buffer(input), use_tuple);
         if (failure)
@@ -207,6 +222,18 @@
     }
 }
 
+base::instant http_connection::state::next_bytes_by(
+    const answer_time& time) const
+{
+    if (received_bytes == 0)
+    {
+        return std::min(time.first_byte_by, time.end_by);
+    }
+    const auto now = base::monotonic_clock::now();
+    return time.end_by - now < time.max_pause ? time.end_by
+                                              : now + time.max_pause;
+}
+
 bool http_connection::open() const
 {
     if (!state_->usable)
--- a/packages/net/http_client.hpp
+++ b/packages/net/http_client.hpp
@@ -34,6 +34,18 @@
 // Most bytes of an answer's body where nothing else is said.
 constexpr std::uint64_t default_answer_bytes = 8ULL * 1024 * 1024;
 
+// Time that an answer may take. What arrives shows that the other end is there,
+// so that a long answer on a slow link is waited for, and a lost one isn't.
+struct answer_time
+{
+    // The first byte arrives by then.
+    base::instant first_byte_by{};
+    // Longest pause between two arrivals after it.
+    base::duration max_pause{};
+    // The whole answer is there by then, however steadily it arrives.
+    base::instant end_by{};
+};
+
 using exchange_result =
     boost::outcome_v2::checked<http_response, exchange_failure>;
 
@@ -58,6 +70,8 @@
     // deadline_passed, request_malformed, answer_too_large.
     boost::asio::awaitable<exchange_result> exchange(
         const http_request& request, base::instant deadline);
+    boost::asio::awaitable<exchange_result> exchange(
+        const http_request& request, answer_time time);
 
     // True while the last exchange ended well and the other end has not
     // closed; a connection forgotten in between still looks open.
