Store watch: daemons pass large values on compressed

A daemon says in its request whether it reads that, so that builds can be mixed; what the values of one answer have together is bounded as an answer is.

--- a/tests/platform/fake_store.cpp
+++ b/tests/platform/fake_store.cpp
@@ -139,7 +139,7 @@
             }
         }
     }
-    return net::make_json(platform::format_rows(response));
+    return net::make_json(platform::format_rows(response, nullptr));
 }
 
 asio::awaitable<net::http_response> fake_store::wait_for_changes(
@@ -165,7 +165,7 @@
         if (!response.rows.empty() || timed_out || fault_ != store_fault::none)
         {
             std::ranges::sort(response.rows, {}, &store::mirrored_row::version);
-            co_return net::make_json(platform::format_rows(response));
+            co_return net::make_json(platform::format_rows(response, nullptr));
         }
         co_await sleep_for(poll_interval);
     }
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -63,6 +63,56 @@
     BOOST_TEST(rows.value().rows.front().value.empty());
 }
 
+// A configuration that is passed on takes a part of its bytes on the link.
+BOOST_AUTO_TEST_CASE(large_values_are_passed_on_compressed)
+{
+    platform::table_response response{.version = 7};
+    response.rows.push_back({"large", std::string(200'000, 'a'), 7});
+    response.rows.push_back({"small", "b", 6});
+    response.unstored_configuration = std::string(100'000, 'c');
+    platform::row_packer packer;
+    const auto text = platform::format_rows(response, &packer);
+    BOOST_TEST(text.size() < 5'000U);
+    const auto read = platform::parse_rows(text);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_REQUIRE(read.value().rows.size() == 2U);
+    BOOST_TEST((read.value().rows[0].value == response.rows[0].value));
+    BOOST_TEST(read.value().rows[1].value == "b");
+    BOOST_TEST(
+        (read.value().unstored_configuration ==
+         response.unstored_configuration));
+}
+
+// Guards against memory without end by answers of a few KB.
+BOOST_AUTO_TEST_CASE(compressed_values_are_bounded_together)
+{
+    platform::table_response response{.version = 7};
+    const std::string half(platform::max_rows_bytes / 2, 'a');
+    platform::row_packer packer;
+    response.rows.assign(2, {"k", half, 7});
+    BOOST_TEST(platform::parse_rows(platform::format_rows(response, &packer))
+                   .has_value());
+    response.rows.assign(3, {"k", half, 7});
+    BOOST_TEST(!platform::parse_rows(platform::format_rows(response, &packer))
+                    .has_value());
+}
+
+// Guards against a value of before a restore of the store, which gives the same
+// key and version out again.
+BOOST_AUTO_TEST_CASE(another_value_of_the_same_key_and_version_is_passed_on)
+{
+    platform::row_packer packer;
+    for (const char letter : {'a', 'b'})
+    {
+        platform::table_response response{.version = 7};
+        response.rows.push_back({"k", std::string(50'000, letter), 7});
+        const auto read =
+            platform::parse_rows(platform::format_rows(response, &packer));
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST(read.value().rows.at(0).value.front() == letter);
+    }
+}
+
 // FAULT: 4 MB of numbers, as much as an answer of the store or of another
 // daemon may have, took a daemon of 260 MB over its memory.
 BOOST_AUTO_TEST_CASE(rows_take_a_bounded_multiple_of_their_text)
