--- a/packages/net/http_client.cpp
+++ b/packages/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.hpp"
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 
@@ -78,13 +79,18 @@
     }
 
     asio::awaitable<base::result<received_message<false>>> receive(
-        bool without_body);
+        bool without_body, const answer_time& time);
+    // When the next bytes are waited for no longer.
+    base::instant next_bytes_by(const answer_time& time) const;
 
     message_limits limits;
     beast::tcp_stream stream;
     std::array<char, 8 * 1024> input{};
     answer_reader reader{};
     base::instant last_heard{};
+    // In the last exchange.
+    std::uint64_t received_bytes{0};
+    base::instant answer_began{};
     bool usable{false};
 };
 
@@ -122,12 +128,25 @@
 
 asio::awaitable<exchange_result> http_connection::exchange(
     const http_request& request, base::instant deadline)
+{
+    return exchange(
+        request,
+        answer_time{
+            .first_byte_by = deadline,
+            .max_pause = base::duration::max(),
+            .end_by = deadline});
+}
+
+asio::awaitable<exchange_result> http_connection::exchange(
+    const http_request& request, answer_time time)
 {
     // Set before the first byte can leave: a cancellation anywhere below
     // must leave the connection unusable.
     state_->usable = false;
+    state_->received_bytes = 0;
+    state_->answer_began = {};
     auto message = to_message(request);
-    state_->stream.expires_at(deadline);
+    state_->stream.expires_at(time.first_byte_by);
     auto [write_failure, written] =
         co_await http::async_write(state_->stream, message, use_tuple);
     if (write_failure)
@@ -140,12 +159,12 @@
     }
 
     // The answer to a HEAD request carries a length but no body.
-    auto received = co_await state_->receive(request.method == "HEAD");
+    auto received = co_await state_->receive(request.method == "HEAD", time);
     for (int seen = 0; seen < max_interim_answers && received &&
                        interim(received.value().message);
          ++seen)
     {
-        received = co_await state_->receive(request.method == "HEAD");
+        received = co_await state_->receive(request.method == "HEAD", time);
     }
     // Still an interim answer, or one that switches protocols, which is none.
     const bool final_answer =
@@ -172,7 +191,7 @@
 // cannot be told from one that was cut short, so it does not count as whole,
 // not even when empty.
 asio::awaitable<base::result<received_message<false>>>
-http_connection::state::receive(bool without_body)
+http_connection::state::receive(bool without_body, const answer_time& time)
 {
     reader.begin(limits, without_body);
     for (;;)
@@ -191,6 +210,7 @@
         {
             continue;
         }
+        stream.expires_at(next_bytes_by(time));
         auto [failure, size] =
             co_await stream.async_read_some(asio::buffer(input), use_tuple);
         if (failure)
@@ -199,10 +219,27 @@
             co_return boost::outcome_v2::failure(
                 to_error(failure, result_code::answer_lost));
         }
+        if (received_bytes == 0)
+        {
+            answer_began = base::monotonic_clock::now();
+        }
+        received_bytes += size;
         reader.append(asio::buffer(input, size));
     }
 }
 
+base::instant http_connection::state::next_bytes_by(
+    const answer_time& time) const
+{
+    if (received_bytes == 0)
+    {
+        return std::min(time.first_byte_by, time.end_by);
+    }
+    const auto now = base::monotonic_clock::now();
+    return time.end_by - now < time.max_pause ? time.end_by
+                                              : now + time.max_pause;
+}
+
 bool http_connection::open() const
 {
     if (!state_->usable)
@@ -223,6 +260,16 @@
     return state_->last_heard;
 }
 
+std::uint64_t http_connection::received_bytes() const
+{
+    return state_->received_bytes;
+}
+
+base::instant http_connection::answer_began() const
+{
+    return state_->answer_began;
+}
+
 void http_connection::close()
 {
     state_->usable = false;
