--- a/tests/platform/store_watch_fixture.cpp
+++ b/tests/platform/store_watch_fixture.cpp
@@ -115,7 +115,7 @@
 }
 
 relay_daemon::relay_daemon(
-    store_watch_fixture& fixture, const base::endpoint& store)
+    store_watch_fixture& fixture, const base::endpoint& store, int host_number)
     : view{{}, make_local_member(), {{"addis-a", "addis"}}, 2},
       watch{
           fixture.loop,
@@ -124,7 +124,7 @@
           fixture.metrics,
           store_watch_fixture::report_interval},
       fixture_{fixture}, server_{fixture.loop, {}, make_handlers(watch)},
-      address_{own_host(0), relay_port}
+      address_{own_host(host_number), relay_port}
 {
     if (!server_.listen(address_))
     {
--- a/tests/platform/store_watch_fixture.hpp
+++ b/tests/platform/store_watch_fixture.hpp
@@ -64,7 +64,11 @@
 {
 public:
     // `store` is where this daemon reads.
-    relay_daemon(store_watch_fixture& fixture, const base::endpoint& store);
+    // Daemons that live at once need different numbers of their hosts.
+    relay_daemon(
+        store_watch_fixture& fixture,
+        const base::endpoint& store,
+        int host_number = 0);
 
     // Makes this daemon the one that reads the store for the region.
     void announce() { announce_to(fixture_.view, "first"); }
--- a/tests/platform/store_watch_test.cpp
+++ b/tests/platform/store_watch_test.cpp
@@ -213,6 +213,58 @@
         fixture.wait_until([&] { return !fixture.has_worker("i-1"); }, 1800ms));
 }
 
+// Guards against requests to a worker that has left, at the daemons of a zone
+// that was cut off: they reach each other, so that no daemon takes the cut for
+// its own, and all others have started again meanwhile, so that none has
+// followed the store all along. One that has read it for as long as entries
+// take to come back shows that what is missing has gone.
+BOOST_AUTO_TEST_CASE(worker_that_left_is_dropped_when_all_others_have_restarted)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    constexpr int neighbour_host = 3;
+    relay_daemon neighbour{fixture, fixture.store.address(), neighbour_host};
+    neighbour.announce_to(fixture.view, "neighbour");
+    fixture.run_for(2500ms);
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(1000ms);
+    fake_store others_store{fixture.loop};
+    others_store.put("op", "config", make_configuration(5));
+    others_store.put("servers", "i-1", make_worker("ready"));
+    relay_daemon restarted{fixture, others_store.address()};
+    fixture.run_for(platform::fleet_updater::return_time + 300ms);
+    fixture.store.remove("servers", "i-1");
+    others_store.remove("servers", "i-1");
+    neighbour.announce_to(fixture.view, "neighbour");
+    restarted.announce_to(fixture.view, "zebra");
+    fixture.store.set_fault(store_fault::none);
+    BOOST_TEST(
+        fixture.wait_until([&] { return !fixture.has_worker("i-1"); }, 1800ms));
+}
+
+// Guards against the same without anybody to ask: the store's return is known
+// by the first table, and does not begin again with the second.
+BOOST_AUTO_TEST_CASE(second_table_to_come_back_is_no_return_of_its_own)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(2500ms);
+    fixture.store.remove("servers", "i-1");
+    fixture.store.set_unavailable_table("op");
+    fixture.store.set_fault(store_fault::none);
+    constexpr auto second_table_after = 1500ms;
+    fixture.run_for(second_table_after);
+    fixture.store.set_unavailable_table({});
+    // After the store's return the first read comes within a second; the
+    // removal is applied with the read after it falls due, half a second later.
+    constexpr auto bound =
+        1000ms + platform::fleet_updater::return_time + 500ms;
+    BOOST_TEST(fixture.wait_until(
+        [&] { return !fixture.has_worker("i-1"); },
+        bound - second_table_after));
+}
+
 // The same when the other table comes back later: it was taken for another
 // return of the store.
 BOOST_AUTO_TEST_CASE(tables_that_come_back_one_by_one_are_one_return)
