--- a/tests/platform/store_watch_test.cpp
+++ b/tests/platform/store_watch_test.cpp
@@ -242,6 +242,62 @@
         fixture.wait_until([&] { return !fixture.has_worker("i-1"); }, 1800ms));
 }
 
+// The same when the store was silent right before the cut, so that others have
+// followed it since then only.
+BOOST_AUTO_TEST_CASE(worker_that_left_is_dropped_after_silence_before_a_cut)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    fake_store others_store{fixture.loop};
+    others_store.put("op", "config", make_configuration(5));
+    others_store.put("servers", "i-1", make_worker("ready"));
+    constexpr int neighbour_host = 3;
+    relay_daemon neighbour{fixture, fixture.store.address(), neighbour_host};
+    relay_daemon other{fixture, others_store.address()};
+    neighbour.announce_to(fixture.view, "neighbour");
+    fixture.run_for(2500ms);
+    fixture.store.set_fault(store_fault::unavailable);
+    others_store.set_fault(store_fault::unavailable);
+    fixture.run_for(2500ms);
+    others_store.set_fault(store_fault::none);
+    // The first read comes within a second.
+    fixture.run_for(1000ms + platform::fleet_updater::return_time + 300ms);
+    fixture.store.remove("servers", "i-1");
+    others_store.remove("servers", "i-1");
+    neighbour.announce_to(fixture.view, "neighbour");
+    other.announce_to(fixture.view, "zebra");
+    fixture.store.set_fault(store_fault::none);
+    BOOST_TEST(
+        fixture.wait_until([&] { return !fixture.has_worker("i-1"); }, 1800ms));
+}
+
+// The other way round: the store was restored meanwhile, and its entries may
+// come back whatever others have followed of it.
+BOOST_AUTO_TEST_CASE(worker_that_a_restore_lost_is_kept_beside_other_daemons)
+{
+    store_watch_fixture fixture;
+    fake_store others_store{fixture.loop};
+    for (auto* store : {&fixture.store, &others_store})
+    {
+        store->put("op", "config", make_configuration(5));
+        store->keep_copy();
+        store->put("servers", "i-2", make_worker("ready"));
+    }
+    BOOST_REQUIRE(
+        fixture.wait_until([&] { return fixture.has_worker("i-2"); }, 1s));
+    relay_daemon other{fixture, others_store.address()};
+    fixture.run_for(2500ms);
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(2500ms);
+    fixture.store.restore();
+    others_store.restore();
+    other.announce_to(fixture.view, "zebra");
+    fixture.store.set_fault(store_fault::none);
+    // The worker has this time to report again.
+    fixture.run_for(platform::fleet_updater::return_time - 200ms);
+    BOOST_TEST(fixture.has_worker("i-2"));
+}
+
 // Guards against the same without anybody to ask: the store's return is known
 // by the first table, and does not begin again with the second.
 BOOST_AUTO_TEST_CASE(second_table_to_come_back_is_no_return_of_its_own)
