Tests: an outage that others have not noticed keeps expired workers (red)

Fails on this code: another daemon has followed the store since before an outage that is too short for a gap in what it saw, and removals fall due too soon.

--- a/tests/platform/store_watch_test.cpp
+++ b/tests/platform/store_watch_test.cpp
@@ -298,6 +298,30 @@
     BOOST_TEST(fixture.has_worker("i-2"));
 }
 
+// The other way round: an outage that is too short for a gap in what another
+// daemon has followed since before it. The entry may come back.
+BOOST_AUTO_TEST_CASE(expired_worker_is_kept_after_an_outage_that_others_missed)
+{
+    store_watch_fixture fixture;
+    BOOST_REQUIRE(fixture.wait_until_loaded());
+    fake_store others_store{fixture.loop};
+    others_store.put("op", "config", make_configuration(5));
+    others_store.put("servers", "i-1", make_worker("ready"));
+    // Longer than any time that could hide an outage.
+    fixture.run_for(2500ms);
+    // Not for long enough to show that the store was not away at all.
+    relay_daemon other{fixture, others_store.address()};
+    fixture.run_for(700ms);
+    fixture.store.set_fault(store_fault::unavailable);
+    fixture.run_for(1800ms);
+    fixture.store.remove("servers", "i-1");
+    others_store.remove("servers", "i-1");
+    other.announce_to(fixture.view, "zebra");
+    fixture.store.set_fault(store_fault::none);
+    fixture.run_for(1500ms);
+    BOOST_TEST(fixture.has_worker("i-1"));
+}
+
 // Guards against the same without anybody to ask: the store's return is known
 // by the first table, and does not begin again with the second.
 BOOST_AUTO_TEST_CASE(second_table_to_come_back_is_no_return_of_its_own)
